--- a/tests/features/steps/configuration_steps.py
+++ b/tests/features/steps/configuration_steps.py
@@ -15,7 +15,7 @@
     text = json.dumps(builders.configuration_text(**{key: 1}), indent=1)
     with tempfile.NamedTemporaryFile("w", suffix=".jsonc", delete=False) as file:
         file.write(text)
-    context.text = text
+    context.configuration_text = text
     context.path = file.name
 
 
@@ -36,6 +36,6 @@
 
 @then('the message names the key "{key}" and its line')
 def compare_message(context, key):
-    lines = context.text.splitlines()
+    lines = context.configuration_text.splitlines()
     number = next(i for i, line in enumerate(lines, 1) if f'"{key}"' in line)
     assert f":{number}: {key}:" in context.result.stderr, context.result.stderr
