--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -175,3 +175,7 @@
 
     status = 409
     title = "outcome of the first call is unknown"
+
+
+class StandInError(DogwoodshedError):
+    """Raised when a stand-in or a process of a test does not start."""
--- /dev/null
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -0,0 +1,273 @@
+"""Start a fleet of gateways with its stand-ins as processes on loopback."""
+
+import asyncio
+import json
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from dogwoodshed._internal.exceptions import StandInError
+from dogwoodshed._internal.standins.upstream import Behaviour
+
+CONFIGURATION_KEY = "dogwoodshed/configuration"
+HOSTS_KEY = "dogwoodshed/hosts"
+START_TIMEOUT_S = 20.0
+POLL_S = 0.02
+
+
+class UpstreamGroup(NamedTuple):
+    """Upstreams of one service, served by one stand-in process."""
+
+    service: str
+    count: int
+    behaviour: Behaviour
+    seed: int = 1
+
+
+class GatewayProcess:
+    """One gateway process and its addresses."""
+
+    def __init__(self, settings: dict[str, Any], directory: Path) -> None:
+        self._settings = settings
+        self._path = directory / f"{settings['id']}.jsonc"
+        self._log = directory / f"{settings['id']}.log"
+        self._process: asyncio.subprocess.Process | None = None
+
+    @property
+    def id(self) -> str:
+        return self._settings["id"]
+
+    @property
+    def address(self) -> str:
+        return self._settings["listen"]
+
+    @property
+    def administration(self) -> str:
+        return self._settings["administration"]["listen"]
+
+    @property
+    def log_text(self) -> str:
+        return self._log.read_text(encoding="utf-8")
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process without waiting until it serves."""
+        self._path.write_text(json.dumps(self._settings), encoding="utf-8")
+        with self._log.open("a", encoding="utf-8") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "dogwoodshed",
+                "--verbose",
+                "gateway",
+                "--settings",
+                str(self._path),
+                stdout=log,
+                stderr=log,
+            )
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self._process.send_signal(number)
+
+    async def wait(self) -> int:
+        """Wait until the process ends and return its exit code."""
+        return await self._process.wait()
+
+
+class Fleet:
+    """Gateways, platform, upstreams and links of one test."""
+
+    def __init__(self) -> None:
+        self._directory = tempfile.TemporaryDirectory(prefix="dogwoodshed-")
+        self._helpers: list[asyncio.subprocess.Process] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._links: dict[tuple[int, int], tuple[str, int]] = {}
+        self.gateways: list[GatewayProcess] = []
+        self.upstreams: dict[str, list[str]] = {}
+        self.platform = ""
+
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        return self._session
+
+    async def start_platform(self) -> None:
+        """Start the platform stand-in without any value."""
+        self._session = aiohttp.ClientSession()
+        answer = await self._start_stand_in("platform", {})
+        self.platform = answer["address"]
+
+    async def start_upstreams(self, groups: Sequence[UpstreamGroup]) -> None:
+        """Start one stand-in process for each group."""
+        for group in groups:
+            answer = await self._start_stand_in("upstream", group._asdict())
+            self.upstreams[group.service] = answer["addresses"]
+
+    async def publish(self, text: str, key: str = CONFIGURATION_KEY) -> int:
+        """Publish a text on the platform and return the platform's index."""
+        answer = await self.control_platform(put={"key": key, "text": text})
+        return answer["index"]
+
+    async def start_gateways(
+        self,
+        count: int,
+        *,
+        data_centres: Sequence[str] = ("dc-1",),
+        with_links: bool = False,
+        **settings: Any,
+    ) -> None:
+        """Start gateways that know each other and wait until all serve."""
+        ports = free_ports(3 * count)
+        mesh = [f"127.0.0.1:{port}" for port in ports[:count]]
+        if with_links:
+            await self._start_links(mesh)
+        for index in range(count):
+            peers = [
+                {"id": f"g{other:02d}", "address": self._route(index, other, mesh)}
+                for other in range(count)
+                if other != index
+            ]
+            self.gateways.append(
+                GatewayProcess(
+                    {
+                        "id": f"g{index:02d}",
+                        "host": f"host-{index:02d}",
+                        "data_centre": data_centres[index % len(data_centres)],
+                        "listen": f"127.0.0.1:{ports[count + index]}",
+                        "mesh": {"listen": mesh[index], "peers": peers},
+                        "administration": {
+                            "listen": f"127.0.0.1:{ports[2 * count + index]}"
+                        },
+                        "platform": {"address": self.platform},
+                        **settings,
+                    },
+                    Path(self._directory.name),
+                )
+            )
+        for gateway in self.gateways:
+            await gateway.start()
+        for gateway in self.gateways:
+            await self.wait_ready(gateway)
+
+    async def wait_ready(self, gateway: GatewayProcess) -> None:
+        """Wait until a gateway accepts connections; raises StandInError."""
+        ip, _, port = gateway.address.rpartition(":")
+        try:
+            async with asyncio.timeout(START_TIMEOUT_S):
+                while True:
+                    if not gateway.running:
+                        raise StandInError(gateway.log_text[-2000:])
+                    try:
+                        _, writer = await asyncio.open_connection(ip, int(port))
+                    except OSError:
+                        await asyncio.sleep(POLL_S)
+                        continue
+                    writer.close()
+                    return
+        except TimeoutError:
+            raise StandInError(f"{gateway.id}: {gateway.log_text[-2000:]}") from None
+
+    async def control_platform(self, **order: Any) -> dict[str, Any]:
+        """Change the platform stand-in and return its counts."""
+        return await self._post(self.platform, order)
+
+    async def control_upstream(
+        self, address: str, behaviour: Mapping[str, Any] | None = None
+    ) -> dict[str, Any]:
+        """Change an upstream stand-in and return its counts."""
+        return await self._post(address, dict(behaviour or {}))
+
+    async def upstream_states(self, service: str) -> list[dict[str, Any]]:
+        """Return the counts of all upstreams of a service."""
+        return await asyncio.gather(
+            *(self.control_upstream(address) for address in self.upstreams[service])
+        )
+
+    async def set_partition(self, side: Sequence[int], cut: bool) -> None:
+        """Cut or mend every link between gateways of one side and the others."""
+        control = ""
+        numbers = []
+        for (first, second), (address, number) in self._links.items():
+            if (first in side) != (second in side):
+                control = address
+                numbers.append(number)
+        await self._post(control, {"links": numbers, "cut": cut})
+
+    async def stop(self) -> None:
+        """End every process that this fleet started."""
+        for gateway in self.gateways:
+            if gateway.running:
+                gateway.send_signal(signal.SIGKILL)
+                await gateway.wait()
+        for helper in self._helpers:
+            if helper.returncode is None:
+                helper.kill()
+                await helper.wait()
+        if self._session is not None:
+            await self._session.close()
+        self._directory.cleanup()
+
+    async def _start_links(self, mesh: Sequence[str]) -> None:
+        pairs = [
+            (first, second)
+            for first in range(len(mesh))
+            for second in range(len(mesh))
+            if first != second
+        ]
+        answer = await self._start_stand_in(
+            "link", {"targets": [mesh[second] for _, second in pairs]}
+        )
+        self._link_addresses = dict(zip(pairs, answer["addresses"], strict=True))
+        for number, pair in enumerate(pairs):
+            self._links[pair] = (answer["control"], number)
+
+    def _route(self, index: int, other: int, mesh: Sequence[str]) -> str:
+        if self._links:
+            return self._link_addresses[index, other]
+        return mesh[other]
+
+    async def _start_stand_in(self, name: str, order: dict[str, Any]) -> dict[str, Any]:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            f"dogwoodshed._internal.standins.{name}",
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self._helpers.append(process)
+        process.stdin.write(json.dumps(order).encode())
+        process.stdin.close()
+        line = await asyncio.wait_for(process.stdout.readline(), START_TIMEOUT_S)
+        if not line:
+            raise StandInError(f"{name} stand-in did not start")
+        return json.loads(line)
+
+    async def _post(self, address: str, order: dict[str, Any]) -> dict[str, Any]:
+        url = f"http://{address}/_control"
+        async with self._session.post(url, json=order) as response:
+            return await response.json()
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports on loopback that are free at this moment."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for opened in sockets:
+            opened.bind(("127.0.0.1", 0))
+        return [opened.getsockname()[1] for opened in sockets]
+    finally:
+        for opened in sockets:
+            opened.close()
