Connect gateways by msgpack streams and track their membership

One connection for each pair, heartbeats with an incarnation, a bounded send buffer that drops stale heartbeats first, and a pause check before any message is handled.

--- /dev/null
+++ b/src/dogwoodshed/_internal/membership.py
@@ -0,0 +1,169 @@
+"""Track which gateways are listed, live, silent or leaving."""
+
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+from absl import logging
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.mesh.messages import Heartbeat, Hello
+from dogwoodshed._internal.settings import Settings
+
+
+class Members(NamedTuple):
+    """The gateways as one gateway sees them; both tuples are sorted."""
+
+    own_id: str
+    # Live gateways, this one included.
+    live: tuple[str, ...]
+    # Gateways that should exist, live or not, this one included.
+    listed: tuple[str, ...]
+
+    @property
+    def visible_share(self) -> float:
+        listed = set(self.listed)
+        return len(listed.intersection(self.live)) / len(listed)
+
+
+class GatewayEntry(NamedTuple):
+    """A gateway as the host list or the settings name it."""
+
+    id: str
+    address: str
+    data_centre: str = ""
+    leaving: bool = False
+
+
+class PeerView(NamedTuple):
+    """The last heartbeat of a peer."""
+
+    heard_at: float
+    heartbeat: Heartbeat
+    incarnation: int
+    data_centre: str
+
+
+Listener = Callable[[Members], None]
+
+
+class Membership:
+    """Derive the members from settings, host list and heartbeats."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._own_id = settings.id
+        self._dead_after = settings.mesh.dead_after_s
+        self._clock = clock
+        self._configured = {
+            peer.id: GatewayEntry(peer.id, peer.address) for peer in settings.mesh.peers
+        }
+        self._host_list: dict[str, GatewayEntry] | None = None
+        self._hellos: dict[str, Hello] = {}
+        self._connected_at: dict[str, float] = {}
+        self._views: dict[str, PeerView] = {}
+        # Incarnations that announced a planned stop.
+        self._left: dict[str, int] = {}
+        self._live: set[str] = set()
+        self._listeners: list[Listener] = []
+        self._members = self._derive()
+
+    @property
+    def members(self) -> Members:
+        return self._members
+
+    @property
+    def views(self) -> Mapping[str, PeerView]:
+        return {peer: self._views[peer] for peer in self._live}
+
+    @property
+    def addresses(self) -> Mapping[str, str]:
+        return {
+            entry.id: entry.address
+            for entry in self._entries().values()
+            if entry.id != self._own_id
+        }
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call a listener at every change of the members."""
+        self._listeners.append(listener)
+
+    def address(self, peer_id: str) -> str | None:
+        """Return the mesh address of a gateway."""
+        entry = self._entries().get(peer_id)
+        return entry.address if entry else None
+
+    def apply_host_list(self, entries: tuple[GatewayEntry, ...]) -> None:
+        """Use the gateways that the platform lists."""
+        self._host_list = {entry.id: entry for entry in entries}
+        self._update()
+
+    def note_connected(self, hello: Hello) -> None:
+        """Note that a peer said Hello."""
+        self._hellos[hello.peer_id] = hello
+        self._connected_at[hello.peer_id] = self._clock.monotonic()
+        if self._left.get(hello.peer_id, 0) < hello.incarnation:
+            self._left.pop(hello.peer_id, None)
+
+    def note_heartbeat(self, peer_id: str, heartbeat: Heartbeat) -> None:
+        """Note a sign of life."""
+        hello = self._hellos[peer_id]
+        self._views[peer_id] = PeerView(
+            self._clock.monotonic(), heartbeat, hello.incarnation, hello.data_centre
+        )
+        if peer_id not in self._live and peer_id not in self._left:
+            self._live.add(peer_id)
+            self._update()
+
+    def note_leaving(self, peer_id: str) -> None:
+        """Note a planned stop."""
+        self._left[peer_id] = self._hellos[peer_id].incarnation
+        self._live.discard(peer_id)
+        self._update()
+
+    def heard_recently(self, peer_id: str) -> bool:
+        """Tell whether a peer gave a sign of life, or only just connected."""
+        view = self._views.get(peer_id)
+        heard_at = view.heard_at if view else self._connected_at[peer_id]
+        return self._clock.monotonic() - heard_at < self._dead_after
+
+    def expire(self) -> None:
+        """Drop peers that have been silent for too long."""
+        silent = {peer for peer in self._live if not self.heard_recently(peer)}
+        if silent:
+            self._live -= silent
+            for peer in silent:
+                del self._views[peer]
+            self._update()
+
+    def forget_views(self) -> None:
+        """Trust no view until the next heartbeat, after a pause of this process."""
+        self._views.clear()
+        self._live.clear()
+        self._update()
+
+    def _entries(self) -> dict[str, GatewayEntry]:
+        entries = dict(self._configured)
+        entries.update(self._host_list or {})
+        return entries
+
+    def _derive(self) -> Members:
+        listed = {self._own_id, *self._live}
+        for entry in self._entries().values():
+            gone = self._host_list is not None and entry.id not in self._host_list
+            if not (gone or entry.leaving or entry.id in self._left):
+                listed.add(entry.id)
+        return Members(
+            self._own_id,
+            tuple(sorted({self._own_id, *self._live})),
+            tuple(sorted(listed)),
+        )
+
+    def _update(self) -> None:
+        members = self._derive()
+        if members == self._members:
+            return
+        previous, self._members = self._members, members
+        for peer in sorted(set(previous.live) ^ set(members.live)):
+            state = "live" if peer in members.live else "silent or leaving"
+            logging.info("gateway %s is %s", peer, state)
+        for listener in self._listeners:
+            listener(members)
--- a/src/dogwoodshed/_internal/routing/base.py
+++ b/src/dogwoodshed/_internal/routing/base.py
@@ -5,8 +5,14 @@
 from enum import Enum
 from typing import NamedTuple
 
+from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.model import Configuration, Service, Upstream
+from dogwoodshed._internal.membership import Members, Membership
+from dogwoodshed._internal.mesh.messages import ServiceLoad
+from dogwoodshed._internal.mesh.service import Mesh
+from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.settings import Settings
 
 
 class OutcomeStatus(Enum):
@@ -64,11 +70,33 @@
         self.upstream = upstream
 
 
+class RouterContext(NamedTuple):
+    """What a routing policy may use."""
+
+    settings: Settings
+    mesh: Mesh
+    membership: Membership
+    clock: Clock
+    metrics: Metrics
+
+
 class Router(ABC):
     """Choose an upstream for each call and learn from the outcome."""
 
     name = ""
 
+    @classmethod
+    def from_context(cls, context: RouterContext) -> "Router":
+        """Create a policy; most need nothing of the context."""
+        return cls()
+
+    def apply_members(self, members: Members) -> None:  # noqa: B027
+        """Use a new set of live gateways; most policies ignore it."""
+
+    def loads(self) -> tuple[ServiceLoad, ...]:
+        """Return the load by service for the heartbeat, if the policy shares it."""
+        return ()
+
     @abstractmethod
     async def acquire(
         self, call: Call, *, exclude: frozenset[str] = frozenset()
