Route on slices of slots with a ranked queue and borrowing

Cause: queues at the upstreams make urgent calls wait behind the rest, and a gateway that knows only its own calls cannot see the slots that others leave idle. Change: slots are assigned by rendezvous hashing with quotas, calls queue at the gateway by rank, and idle slots are lent for a short term.

--- /dev/null
+++ b/src/dogwoodshed/_internal/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queue calls by rank and refuse what cannot be served in time."""
--- a/src/dogwoodshed/_internal/membership.py
+++ b/src/dogwoodshed/_internal/membership.py
@@ -91,6 +91,14 @@
         entry = self._entries().get(peer_id)
         return entry.address if entry else None
 
+    def data_centre(self, peer_id: str) -> str:
+        """Return the data centre of a gateway, as far as it is known."""
+        hello = self._hellos.get(peer_id)
+        if hello is not None:
+            return hello.data_centre
+        entry = self._entries().get(peer_id)
+        return entry.data_centre if entry else ""
+
     def apply_host_list(self, entries: tuple[GatewayEntry, ...]) -> None:
         """Use the gateways that the platform lists."""
         self._host_list = {entry.id: entry for entry in entries}
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -23,10 +23,9 @@
 class ServiceLoad(NamedTuple):
     """The slots and queue of one service at one gateway."""
 
-    idle_slots: int
+    # Averaged over about a heartbeat, since the count changes within milliseconds.
+    idle_slots: float
     queued: tuple[int, ...]
-    # Arrivals times service time: the slots that the arrivals keep busy.
-    demand: float
 
 
 class Heartbeat(NamedTuple):
--- a/src/dogwoodshed/_internal/plugins.py
+++ b/src/dogwoodshed/_internal/plugins.py
@@ -6,6 +6,7 @@
     "dogwoodshed._internal.platform.consul",
     "dogwoodshed._internal.proxy.load_reports",
     "dogwoodshed._internal.routing.baselines",
+    "dogwoodshed._internal.routing.slices",
 )
 
 
--- /dev/null
+++ b/src/dogwoodshed/_internal/routing/service_slots.py
@@ -0,0 +1,337 @@
+"""Match the queued calls of one service with slots."""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+
+from dogwoodshed._internal.admission.queue import RankedQueue, Waiter
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.configuration.model import Rank, Service, Upstream
+from dogwoodshed._internal.exceptions import (
+    DeadlineExpiredInQueueError,
+    DeadlineUnreachableError,
+    NotRunError,
+    NoUpstreamError,
+    QueueFullError,
+)
+from dogwoodshed._internal.mesh.messages import ServiceLoad
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.routing.base import Outcome, OutcomeStatus, Slot
+from dogwoodshed._internal.routing.slots import HeldSlot, SlotTable, TimeAverage
+from dogwoodshed._internal.routing.upstreams import UpstreamHealth, normal_time
+
+DEFAULT_SERVICE_TIME_S = 0.02
+# A slot whose expected time exceeds the normal one by this factor is used only when
+# waiting would take longer.
+SLOW_FACTOR = 1.5
+# A call that would be sent with less than this share of the service time left is given
+# up, since it would only take a slot from calls that still can be on time.
+LEAST_TIME_SHARE = 0.5
+# Dispatches that the estimate of a rank's throughput looks back on.
+THROUGHPUT_SAMPLES = 32
+AVERAGE_S = 0.25
+# The median over all upstreams changes slowly and costs more than a dispatch.
+NORMAL_REFRESH_S = 0.05
+# A call excluded from some upstreams must not hold up those behind it.
+MOST_SKIPPED = 8
+
+
+class _Throughput:
+    """Estimate the dispatches per second of one rank."""
+
+    def __init__(self) -> None:
+        self._moments: deque[float] = deque(maxlen=THROUGHPUT_SAMPLES)
+
+    def note(self, now: float) -> None:
+        self._moments.append(now)
+
+    def rate(self, now: float) -> float | None:
+        if len(self._moments) < THROUGHPUT_SAMPLES:
+            return None
+        return THROUGHPUT_SAMPLES / max(1e-6, now - self._moments[0])
+
+
+class ServiceSlots:
+    """Queue and slots of one service at one gateway."""
+
+    def __init__(
+        self,
+        service: Service,
+        ranks: tuple[Rank, ...],
+        clock: Clock,
+        metrics: Metrics,
+        *,
+        queue_length: int,
+        on_need: Callable[["ServiceSlots"], None],
+        on_return: Callable[[HeldSlot], None],
+    ) -> None:
+        self._service = service
+        self._clock = clock
+        self._metrics = metrics
+        self._queue: RankedQueue = RankedQueue(ranks, queue_length)
+        self._table = SlotTable(self._opens_at)
+        self._health: dict[str, UpstreamHealth] = {}
+        self._throughput = [_Throughput() for _ in ranks]
+        self._random = random.Random()
+        self._on_need = on_need
+        self._on_return = on_return
+        self._idle = TimeAverage(clock.monotonic(), AVERAGE_S)
+        self._timer: asyncio.TimerHandle | None = None
+        self._normal = DEFAULT_SERVICE_TIME_S
+        self._normal_until = float("-inf")
+        # Whether calls may go to upstreams without a slot, see `use_any_upstream`.
+        self._alone = False
+
+    @property
+    def service(self) -> Service:
+        return self._service
+
+    @property
+    def table(self) -> SlotTable:
+        return self._table
+
+    @property
+    def queue(self) -> RankedQueue:
+        return self._queue
+
+    @property
+    def normal(self) -> float:
+        """Return the usual service time in seconds."""
+        now = self._clock.monotonic()
+        if now >= self._normal_until:
+            self._normal = normal_time(self._health.values(), DEFAULT_SERVICE_TIME_S)
+            self._normal_until = now + NORMAL_REFRESH_S
+        return self._normal
+
+    @property
+    def idle_now(self) -> int:
+        """Count the slots that could be lent now."""
+        return len(self._lendable(self._clock.monotonic()))
+
+    def health(self, address: str) -> UpstreamHealth:
+        """Return what is known of an upstream."""
+        health = self._health.get(address)
+        if health is None:
+            health = self._health[address] = UpstreamHealth(
+                self._clock.monotonic(), cold=False
+            )
+        return health
+
+    def update_service(self, service: Service) -> None:
+        """Use a changed service; upstreams that are new to it start cold."""
+        known = {upstream.address for upstream in self._service.upstreams}
+        now = self._clock.monotonic()
+        for upstream in service.upstreams:
+            if upstream.address not in known:
+                self._health[upstream.address] = UpstreamHealth(now, cold=bool(known))
+        for address in known - {upstream.address for upstream in service.upstreams}:
+            self._health.pop(address, None)
+        self._service = service
+
+    def load(self) -> ServiceLoad:
+        """Return the load for the heartbeat."""
+        now = self._clock.monotonic()
+        idle = self._idle.update(len(self._lendable(now)), now)
+        return ServiceLoad(round(idle, 1), self._queue.lengths)
+
+    async def acquire(self, call: Call, exclude: frozenset[str]) -> Slot:
+        """Wait for a slot; raises NotRunError."""
+        if not len(self._queue):
+            slot = self._choose(exclude, waiting=0, waited=0.0)
+            if slot is not None:
+                return self._take(slot, call)
+        self._refuse_early(call)
+        if self._alone and not self._table.usable:
+            return self._two_choices(exclude)
+        future = asyncio.get_running_loop().create_future()
+        waiter = Waiter(call, future, exclude)
+        victim = self._queue.push(waiter)
+        if victim is not None:
+            self._fail(victim, QueueFullError(self._service.name))
+        self._on_need(self)
+        self._set_timer()
+        return await self._wait(waiter)
+
+    async def _wait(self, waiter: Waiter) -> Slot:
+        slot: Slot | None = None
+        try:
+            remaining = waiter.call.deadline - self._clock.monotonic()
+            async with asyncio.timeout(remaining):
+                slot = await waiter.token
+            return slot
+        except TimeoutError:
+            raise DeadlineExpiredInQueueError(self._service.name) from None
+        finally:
+            self._queue.remove(waiter)
+            if slot is None:
+                self._recover(waiter.token)
+
+    def _recover(self, future: "asyncio.Future[HeldSlot]") -> None:
+        """Free a slot that was granted in the moment the wait ended."""
+        if future.done() and not future.cancelled() and future.exception() is None:
+            self.free_slot(future.result())
+
+    def release(self, slot: Slot, outcome: Outcome) -> None:
+        """Learn from the end of a call and use the slot for the next."""
+        now = self._clock.monotonic()
+        self.health(slot.upstream.address).note(outcome, now)
+        if outcome.status is OutcomeStatus.REFUSED:
+            self._metrics.increment("upstreams.refused")
+        if isinstance(slot, HeldSlot):
+            self.free_slot(slot)
+
+    def free_slot(self, slot: HeldSlot) -> None:
+        """Make a slot available again, or give it back."""
+        slot.busy = False
+        if slot.lender is None and not slot.owned:
+            self._table.drop_departed(slot)
+        self.serve()
+        if slot.lender is not None and not slot.busy:
+            self._table.drop_borrowed(slot)
+            self._on_return(slot)
+
+    def serve(self) -> None:
+        """Give free slots to queued calls."""
+        skipped: list[Waiter] = []
+        while len(self._queue) and len(skipped) < MOST_SKIPPED:
+            now = self._clock.monotonic()
+            waiter = self._queue.peek()
+            waited = now - waiter.call.arrived
+            slot = self._choose(waiter.exclude, waiting=len(self._queue), waited=waited)
+            if slot is None and not waiter.exclude:
+                break
+            self._queue.pop()
+            if slot is None:
+                skipped.append(waiter)
+            elif self._is_too_late(waiter.call, now):
+                self._fail(waiter, DeadlineUnreachableError(self._service.name))
+            elif not waiter.token.done():
+                waiter.token.set_result(self._take(slot, waiter.call))
+        for waiter in skipped:
+            self._queue.push(waiter)
+        if len(self._queue):
+            self._on_need(self)
+        self._set_timer()
+        self._note_idle()
+
+    def lend(
+        self, borrower: str, rank: int, exclude: tuple[str, ...]
+    ) -> HeldSlot | None:
+        """Return a free slot for a peer, marked as lent."""
+        if self._queue.waiting_up_to(rank):
+            return None
+        now = self._clock.monotonic()
+        slots = [s for s in self._lendable(now) if s.upstream.address not in exclude]
+        if not slots:
+            return None
+        slot = min(slots, key=lambda s: self._expected(s, now))
+        slot.borrower = borrower
+        self._note_idle()
+        return slot
+
+    def take_back(self, slot: HeldSlot) -> None:
+        """Use a slot again that was lent to a peer."""
+        slot.borrower = None
+        if not slot.owned:
+            self._table.drop_departed(slot)
+        self.serve()
+
+    def use_any_upstream(self, alone: bool) -> None:
+        """Allow calls without a slot, for a gateway with no slot and no peer."""
+        self._alone = alone
+
+    def _two_choices(self, exclude: frozenset[str]) -> Slot:
+        now = self._clock.monotonic()
+        candidates = [
+            upstream
+            for upstream in self._service.upstreams
+            if upstream.address not in exclude
+            and self.health(upstream.address).opens_at(0) <= now
+        ]
+        if not candidates:
+            raise NoUpstreamError(self._service.name)
+        self._metrics.increment("routing.two_choices")
+        pair = self._random.sample(candidates, min(2, len(candidates)))
+        normal = self.normal
+        best = min(pair, key=lambda u: self.health(u.address).expected(now, normal))
+        return Slot(self._service, best)
+
+    def _choose(
+        self, exclude: frozenset[str], *, waiting: int, waited: float
+    ) -> HeldSlot | None:
+        now = self._clock.monotonic()
+        slots = [s for s in self._table.free(now) if s.upstream.address not in exclude]
+        if not slots:
+            return None
+        best = min(slots, key=lambda slot: self._expected(slot, now))
+        extra = self._expected(best, now) - self.normal
+        if extra <= (SLOW_FACTOR - 1) * self.normal:
+            return best
+        ahead = waiting * self.normal / max(1, self._table.usable)
+        return best if ahead + waited >= extra else None
+
+    def _take(self, slot: HeldSlot, call: Call) -> HeldSlot:
+        slot.busy = True
+        self._throughput[call.rank].note(self._clock.monotonic())
+        self._note_idle()
+        return slot
+
+    def _refuse_early(self, call: Call) -> None:
+        now = self._clock.monotonic()
+        rate = self._throughput[call.rank].rate(now)
+        ahead = self._queue.ahead_of(call)
+        if rate is None or not ahead:
+            return
+        if now + ahead / rate + LEAST_TIME_SHARE * self.normal > call.deadline:
+            self._metrics.increment("queue.refused_early")
+            raise DeadlineUnreachableError(self._service.name)
+
+    def _is_too_late(self, call: Call, now: float) -> bool:
+        return now + LEAST_TIME_SHARE * self.normal > call.deadline
+
+    def _fail(self, waiter: Waiter, error: NotRunError) -> None:
+        self._metrics.increment("queue.refused")
+        if not waiter.token.done():
+            waiter.token.set_exception(error)
+
+    def _lendable(self, now: float) -> list[HeldSlot]:
+        most = SLOW_FACTOR * self.normal
+        return [
+            slot
+            for slot in self._table.free(now)
+            if slot.owned and self._expected(slot, now) <= most
+        ]
+
+    def _expected(self, slot: HeldSlot, now: float) -> float:
+        return self.health(slot.upstream.address).expected(now, self.normal)
+
+    def _opens_at(self, slot: HeldSlot) -> float:
+        return self.health(slot.upstream.address).opens_at(slot.id.index)
+
+    def _note_idle(self) -> None:
+        now = self._clock.monotonic()
+        self._idle.update(len(self._lendable(now)), now)
+
+    def _set_timer(self) -> None:
+        """Look again when a closed slot opens or waiting outweighs a slow slot."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if not len(self._queue):
+            return
+        now = self._clock.monotonic()
+        opening = self._table.next_opening(now)
+        delay = self.normal / 2
+        if opening is not None:
+            delay = min(delay, max(0.001, opening - now))
+        self._timer = asyncio.get_running_loop().call_later(delay, self.serve)
+
+
+def find_upstream(service: Service, address: str) -> Upstream | None:
+    """Return the upstream of a service with this address."""
+    for upstream in service.upstreams:
+        if upstream.address == address:
+            return upstream
+    return None
