--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -12,6 +12,7 @@
 from dogwoodshed._internal.mesh.service import HeartbeatState, Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.platform.watcher import PlatformWatcher
+from dogwoodshed._internal.probing.prober import Prober
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.relay import Relay
 from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer
@@ -66,6 +67,14 @@
             self._clock,
             self._metrics,
         )
+        self._read_report = registry.lookup(registry.LOAD_REPORT, "orca")
+        self._prober = Prober(
+            self._router,
+            self._membership,
+            self._read_report,
+            self._clock,
+            self._metrics,
+        )
         self._ready = asyncio.Event()
 
     def _create_router(self) -> Router:
@@ -104,7 +113,7 @@
         self._relay = Relay(
             self._router,
             self._pools,
-            registry.lookup(registry.LOAD_REPORT, "orca"),
+            self._read_report,
             self._clock,
             self._metrics,
         )
@@ -118,6 +127,7 @@
         )
         await self.add_runtime_dependency(self._mesh)
         await self.add_runtime_dependency(self._watcher)
+        await self.add_runtime_dependency(self._prober)
 
     async def on_started(self) -> None:
         """Serve once a configuration is in force."""
--- /dev/null
+++ b/src/dogwoodshed/_internal/probing/__init__.py
@@ -0,0 +1,1 @@
+"""Ask upstreams for their load within a budget."""
--- /dev/null
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -0,0 +1,115 @@
+"""Probe the upstreams that nobody has heard from."""
+
+import asyncio
+from typing import NamedTuple
+
+import aiohttp
+from mode import Service
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.membership import Membership
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.proxy.load_reports import LoadReportReader
+from dogwoodshed._internal.routing.base import (
+    LoadReport,
+    Outcome,
+    OutcomeStatus,
+    ProbeDuty,
+    Router,
+)
+
+TICK_S = 0.1
+PROBE_TIMEOUT_S = 1.0
+# While the owner of an upstream changes, two gateways may probe it for a moment.
+BUDGET_USED = 0.5
+
+
+class _Schedule(NamedTuple):
+    """When an upstream may be probed next."""
+
+    due: float
+    interval: float
+
+
+class Prober(Service):
+    """Probe each upstream from one gateway, on this gateway's share of the budget."""
+
+    mundane_level = "debug"
+
+    def __init__(
+        self,
+        router: Router,
+        membership: Membership,
+        read_report: LoadReportReader,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._router = router
+        self._membership = membership
+        self._read_report = read_report
+        self._clock = clock
+        self._metrics = metrics
+        self._schedules: dict[str, _Schedule] = {}
+        self._session: aiohttp.ClientSession | None = None
+
+    @Service.task
+    async def _probe_when_due(self) -> None:
+        self._session = aiohttp.ClientSession(
+            cookie_jar=aiohttp.DummyCookieJar(),
+            timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
+        )
+        while not self.should_stop:
+            due = self.take_due(self._clock.monotonic())
+            await asyncio.gather(*(self._probe(duty) for duty in due))
+            await self.sleep(TICK_S)
+
+    async def on_stop(self) -> None:
+        """Close the connections of probes."""
+        if self._session is not None:
+            await self._session.close()
+
+    def take_due(self, now: float) -> list[ProbeDuty]:
+        """Return the probes to send now and schedule the next ones.
+
+        A new duty first waits a whole interval, since its previous owner may have
+        probed just before; probes missed during a pause are not made up.
+        """
+        duties = {duty.address: duty for duty in self._router.probe_duties()}
+        for address in set(self._schedules) - set(duties):
+            del self._schedules[address]
+        due = []
+        for address, duty in duties.items():
+            interval = self._interval(duty)
+            schedule = self._schedules.get(address)
+            if schedule is None or schedule.interval != interval:
+                self._schedules[address] = _Schedule(now + interval, interval)
+            elif now >= schedule.due:
+                self._schedules[address] = _Schedule(now + interval, interval)
+                if now - duty.last_heard >= interval:
+                    due.append(duty)
+        return due
+
+    def _interval(self, duty: ProbeDuty) -> float:
+        share = self._membership.members.visible_share
+        return 1 / (duty.budget_per_s * BUDGET_USED * share)
+
+    async def _probe(self, duty: ProbeDuty) -> None:
+        self._metrics.increment("probes.sent")
+        started = self._clock.monotonic()
+        status, report = await self._ask(duty)
+        elapsed = self._clock.monotonic() - started
+        if status is not OutcomeStatus.ANSWERED:
+            self._metrics.increment("probes.failed")
+        self._router.note_probe(duty, Outcome(status, elapsed, report))
+
+    async def _ask(self, duty: ProbeDuty) -> tuple[OutcomeStatus, LoadReport | None]:
+        url = f"http://{duty.address}{duty.path}"
+        try:
+            async with self._session.get(url, allow_redirects=False) as response:
+                report = self._read_report(response.headers)
+                if response.status < 400:
+                    return OutcomeStatus.ANSWERED, report
+                return OutcomeStatus.FAILED, report
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return OutcomeStatus.UNREACHABLE, None
--- a/src/dogwoodshed/_internal/routing/base.py
+++ b/src/dogwoodshed/_internal/routing/base.py
@@ -52,6 +52,16 @@
     out: str | None
 
 
+class ProbeDuty(NamedTuple):
+    """An upstream that this gateway probes when it has not heard from it."""
+
+    service: str
+    address: str
+    path: str
+    budget_per_s: float
+    last_heard: float
+
+
 class RouterStatus(NamedTuple):
     """The state of a routing policy."""
 
@@ -93,6 +103,13 @@
     def apply_members(self, members: Members) -> None:  # noqa: B027
         """Use a new set of live gateways; most policies ignore it."""
 
+    def probe_duties(self) -> tuple[ProbeDuty, ...]:
+        """Return the upstreams that this gateway alone should probe."""
+        return ()
+
+    def note_probe(self, duty: ProbeDuty, outcome: Outcome) -> None:  # noqa: B027
+        """Learn from a probe."""
+
     def loads(self) -> tuple[ServiceLoad, ...]:
         """Return the load by service for the heartbeat, if the policy shares it."""
         return ()
--- a/src/dogwoodshed/_internal/routing/slices.py
+++ b/src/dogwoodshed/_internal/routing/slices.py
@@ -14,6 +14,7 @@
 )
 from dogwoodshed._internal.routing.base import (
     Outcome,
+    ProbeDuty,
     Router,
     RouterContext,
     RouterStatus,
@@ -107,6 +108,29 @@
             self._draining.discard(address)
         self._apply_draining(address, draining)
 
+    def probe_duties(self) -> tuple[ProbeDuty, ...]:
+        """Return the upstreams whose first slot this gateway owns."""
+        return tuple(
+            ProbeDuty(
+                slots.service.name,
+                slot.upstream.address,
+                slots.service.probe_path,
+                slots.service.probe_budget_per_s,
+                slots.health(slot.upstream.address).last_sample,
+            )
+            for slots in self._services.values()
+            if slots.service.probe_budget_per_s > 0
+            for slot in slots.table.owned
+            if slot.id.index == 0
+        )
+
+    def note_probe(self, duty: ProbeDuty, outcome: Outcome) -> None:
+        """Learn from a probe."""
+        slots = self._services.get(duty.service)
+        if slots is not None:
+            now = self._clock.monotonic()
+            slots.health(duty.address).note_probe(outcome, now)
+
     def loads(self) -> tuple[ServiceLoad, ...]:
         """Return the load by service for the heartbeat."""
         live = frozenset(self._members.live)
--- a/src/dogwoodshed/_internal/routing/upstreams.py
+++ b/src/dogwoodshed/_internal/routing/upstreams.py
@@ -59,6 +59,15 @@
     def last_sample(self) -> float:
         return self._last_sample
 
+    def note_probe(self, outcome: Outcome, now: float) -> None:
+        """Learn from a probe, whose speed says nothing of real calls."""
+        if outcome.status is not OutcomeStatus.ANSWERED:
+            self.note(outcome, now)
+            return
+        self._last_sample = now
+        if outcome.report is not None:
+            self._reported_slots = outcome.report.slots
+
     def set_draining(self, draining: bool, now: float) -> None:
         """Stop new work, or open the slots again one by one."""
         if self._draining and not draining:
