--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -3,8 +3,9 @@
 import json
 from typing import Any
 
-from dogwoodshed._internal.configuration.model import Configuration
+from dogwoodshed._internal.configuration.model import Configuration, Service
 from dogwoodshed._internal.configuration.schema import load_configuration
+from dogwoodshed._internal.proxy.call import Call
 
 
 def kind_text(name: str = "read", **changes: Any) -> dict[str, Any]:
@@ -66,3 +67,31 @@
     """Build an accepted configuration."""
     text = json.dumps(configuration_text(*services))
     return load_configuration(text, revision, "test")
+
+
+class FakeClock:
+    """A clock that a test moves by hand."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        self.now = now
+
+    def monotonic(self) -> float:
+        return self.now
+
+    def wall(self) -> float:
+        return self.now
+
+
+def call(
+    service: Service,
+    kind: str = "read",
+    *,
+    caller: str = "caller",
+    arrived: float = 1000.0,
+    time_left: float = 10.0,
+) -> Call:
+    """Build a call of a service."""
+    found = next(entry for entry in service.kinds if entry.name == kind)
+    return Call(
+        service, found, caller=caller, arrived=arrived, deadline=arrived + time_left
+    )
--- /dev/null
+++ b/tests/unit/test_prober.py
@@ -0,0 +1,75 @@
+"""Test that probes stay within the budget whatever the fleet does."""
+
+import unittest
+
+from dogwoodshed._internal.membership import Members
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.probing.prober import Prober
+from dogwoodshed._internal.routing.base import ProbeDuty
+from tests.lib import builders
+
+BUDGET_PER_S = 0.5
+FLEET = tuple(f"g{number:02d}" for number in range(16))
+
+
+class FakeMembership:
+    def __init__(self, own_id, live):
+        self.members = Members(own_id, live, FLEET)
+
+
+class FakeRouter:
+    """Own one upstream that never answers a call."""
+
+    def __init__(self, last_heard=float("-inf")):
+        self.last_heard = last_heard
+
+    def probe_duties(self):
+        return (
+            ProbeDuty(
+                "profiles", "127.0.0.1:1", "/load", BUDGET_PER_S, self.last_heard
+            ),
+        )
+
+
+def probes(live, seconds, step=0.1, gap=(0.0, 0.0), router=None):
+    """Count the probes of one gateway, which is paused during a gap."""
+    prober = Prober(
+        router or FakeRouter(),
+        FakeMembership(live[0], live),
+        lambda _: None,
+        builders.FakeClock(),
+        Metrics(),
+    )
+    count, now = 0, 0.0
+    while now < seconds:
+        if not gap[0] <= now < gap[1]:
+            count += len(prober.take_due(now))
+        now += step
+    return count
+
+
+class ProberTest(unittest.TestCase):
+    def test_both_sides_of_a_partition_stay_within_the_budget_together(self):
+        """Guards against a budget that each side of a partition spends in full."""
+        for size in (1, 4, 8, 15):
+            total = probes(FLEET[:size], 600) + probes(FLEET[size:], 600)
+            self.assertLessEqual(total, BUDGET_PER_S * 600)
+            self.assertGreater(total, 0)
+
+    def test_probes_missed_in_a_pause_are_not_made_up(self):
+        """Guards against a burst of probes when a process wakes."""
+        paused = probes(FLEET, 600, gap=(100.0, 500.0))
+        self.assertLessEqual(paused, BUDGET_PER_S * 200)
+
+    def test_new_owner_first_waits_an_interval(self):
+        """Guards against a probe at every restart or change of owner."""
+        self.assertEqual(probes(FLEET, 1 / BUDGET_PER_S), 0)
+
+    def test_upstream_that_answers_calls_is_not_probed(self):
+        """Guards against probes that tell nothing new."""
+        router = FakeRouter(last_heard=float("inf"))
+        self.assertEqual(probes(FLEET, 600, router=router), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
