Pass the configuration text on between gateways

A gateway that cannot reach the platform, or that reads a stale one, kept or brought back an old text. Heartbeats now lead a gateway that is behind to ask the peer for the text, and a starting gateway serves only when no live peer has a newer text and every peer answered, refused or stayed silent for join_timeout_s. Another text of the revision in force is kept out and counted.

The mesh now ignores messages of a predecessor's or closed connection, reads what arrived together with Hello, dials again at once when a connection ends, and takes a peer whose address refuses as dead. A faulty message no longer ends the process.

--- a/src/dogwoodshed/_internal/configuration/store.py
+++ b/src/dogwoodshed/_internal/configuration/store.py
@@ -15,6 +15,8 @@
 class ConfigurationStore:
     """Accept valid texts with rising revisions."""
 
+    key = "configuration"
+
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
         self._current: Configuration | None = None
@@ -35,6 +37,10 @@
     def revision(self) -> int:
         return self._current.revision if self._current else 0
 
+    @property
+    def seen_revision(self) -> int:
+        return max(self.revision, self._rejected_revision)
+
     @property
     def rejection(self) -> ConfigurationError | None:
         return self._rejection
@@ -45,9 +51,8 @@
 
     def offer(self, text: str, revision: int, source: str) -> bool:
         """Accept a text if its revision is higher and it is valid."""
-        if revision <= max(self.revision, self._rejected_revision):
-            if revision < self.revision:
-                self._metrics.increment("configuration.stale")
+        if revision <= self.seen_revision:
+            self._count_ignored(text, revision)
             return False
         try:
             configuration = load_configuration(text, revision, source)
@@ -64,6 +69,12 @@
             listener(configuration)
         return True
 
+    def _count_ignored(self, text: str, revision: int) -> None:
+        if revision < self.revision:
+            self._metrics.increment("configuration.stale")
+        elif revision == self.revision and text != self._text:
+            self._metrics.increment("configuration.conflict")
+
     def _reject(self, revision: int, error: ConfigurationError) -> None:
         self._rejected_revision = revision
         self._rejection = error
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -7,8 +7,14 @@
 
 from dogwoodshed._internal import plugins, registry
 from dogwoodshed._internal.clock import SystemClock
+from dogwoodshed._internal.configuration import distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
-from dogwoodshed._internal.membership import Membership
+from dogwoodshed._internal.membership import (
+    STATE_JOINING,
+    STATE_LEAVING,
+    STATE_READY,
+    Membership,
+)
 from dogwoodshed._internal.mesh.service import HeartbeatState, Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.platform.watcher import PlatformWatcher
@@ -20,10 +26,6 @@
 
 METRICS_FLUSH_S = 1.0
 
-STATE_JOINING = "joining"
-STATE_READY = "ready"
-STATE_LEAVING = "leaving"
-
 
 class _CountingRecorder:
     def __init__(self, metrics: Metrics) -> None:
@@ -66,6 +68,15 @@
             self._clock,
             self._metrics,
         )
+        self._distribution = distribution.Distribution(
+            self._store,
+            None,
+            self._mesh,
+            self._membership,
+            self._clock,
+            self._metrics,
+            enabled=settings.enabled(distribution.FEATURE),
+        )
         self._ready = asyncio.Event()
 
     def _create_router(self) -> Router:
@@ -120,8 +131,10 @@
         await self.add_runtime_dependency(self._watcher)
 
     async def on_started(self) -> None:
-        """Serve once a configuration is in force."""
-        await self.wait(self._watcher.first_configuration)
+        """Serve once a configuration is in force that no peer knows to be old."""
+        joined = await self.wait(self._distribution.join(self._settings.join_timeout_s))
+        if joined.stopped:
+            return
         await self._server.listen(*split_address(self._settings.listen))
         self._state = STATE_READY
         self._ready.set()
--- a/src/dogwoodshed/_internal/membership.py
+++ b/src/dogwoodshed/_internal/membership.py
@@ -45,6 +45,10 @@
 
 Listener = Callable[[Members], None]
 
+STATE_JOINING = "joining"
+STATE_READY = "ready"
+STATE_LEAVING = "leaving"
+
 
 class Membership:
     """Derive the members from settings, host list and heartbeats."""
@@ -63,6 +67,8 @@
         # Incarnations that announced a planned stop.
         self._left: dict[str, int] = {}
         self._live: set[str] = set()
+        # Peers at whose address nothing listens.
+        self._refused: set[str] = set()
         self._listeners: list[Listener] = []
         self._members = self._derive()
 
@@ -74,6 +80,10 @@
     def views(self) -> Mapping[str, PeerView]:
         return {peer: self._views[peer] for peer in self._live}
 
+    @property
+    def refused(self) -> frozenset[str]:
+        return frozenset(self._refused)
+
     @property
     def addresses(self) -> Mapping[str, str]:
         return {
@@ -100,12 +110,27 @@
         """Note that a peer said Hello."""
         self._hellos[hello.peer_id] = hello
         self._connected_at[hello.peer_id] = self._clock.monotonic()
-        if self._left.get(hello.peer_id, 0) < hello.incarnation:
+        self._refused.discard(hello.peer_id)
+        # Not an order: the clock of a replaced host may be behind its predecessor's.
+        if self._left.get(hello.peer_id) != hello.incarnation:
             self._left.pop(hello.peer_id, None)
 
-    def note_heartbeat(self, peer_id: str, heartbeat: Heartbeat) -> None:
-        """Note a sign of life."""
+    def note_refused(self, peer_id: str) -> None:
+        """Note that nothing listens at the address of a peer, so that it is dead."""
+        self._refused.add(peer_id)
+        self._views.pop(peer_id, None)
+        self._live.discard(peer_id)
+        self._update()
+
+    def note_heartbeat(
+        self, peer_id: str, incarnation: int, heartbeat: Heartbeat
+    ) -> None:
+        """Note a sign of life, unless it comes from a predecessor of the peer."""
         hello = self._hellos[peer_id]
+        if hello.incarnation != incarnation:
+            return
+        if heartbeat.state == STATE_LEAVING:
+            self.note_leaving(peer_id, incarnation)
         self._views[peer_id] = PeerView(
             self._clock.monotonic(), heartbeat, hello.incarnation, hello.data_centre
         )
@@ -113,16 +138,20 @@
             self._live.add(peer_id)
             self._update()
 
-    def note_leaving(self, peer_id: str) -> None:
-        """Note a planned stop."""
-        self._left[peer_id] = self._hellos[peer_id].incarnation
+    def note_leaving(self, peer_id: str, incarnation: int) -> None:
+        """Note a planned stop, unless the peer was started again since."""
+        if self._hellos[peer_id].incarnation != incarnation:
+            return
+        self._left[peer_id] = incarnation
         self._live.discard(peer_id)
         self._update()
 
     def heard_recently(self, peer_id: str) -> bool:
         """Tell whether a peer gave a sign of life, or only just connected."""
+        heard_at = self._connected_at[peer_id]
         view = self._views.get(peer_id)
-        heard_at = view.heard_at if view else self._connected_at[peer_id]
+        if view is not None:
+            heard_at = max(heard_at, view.heard_at)
         return self._clock.monotonic() - heard_at < self._dead_after
 
     def expire(self) -> None:
--- a/src/dogwoodshed/_internal/mesh/connection.py
+++ b/src/dogwoodshed/_internal/mesh/connection.py
@@ -41,6 +41,8 @@
         self._sent_bytes = 0
         self._received_bytes = 0
         self._dropped = 0
+        # The bytes that brought Hello may hold further messages.
+        self._unread = True
 
     @classmethod
     async def open(
@@ -127,10 +129,16 @@
 
         Replies go to their requests and are not returned.
         """
+        if self._unread:
+            self._unread = False
+            return self._take(b"")
         data = await self._reader.read(READ_BYTES)
         if not data:
             return None
         self._received_bytes += len(data)
+        return self._take(data)
+
+    def _take(self, data: bytes) -> list[Envelope]:
         envelopes = []
         for envelope in self._decoder.feed(data):
             if envelope.request_id < 0:
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -38,6 +38,7 @@
     digest: str
     # Indexed by the position of the service in the configuration.
     loads: tuple[ServiceLoad, ...] = ()
+    hosts_revision: int = 0
 
 
 class Leaving(NamedTuple):
@@ -45,11 +46,13 @@
 
 
 class TextRequest(NamedTuple):
-    """Ask for the configuration text in force."""
+    """Ask for a published text, by its key below the platform's prefix."""
+
+    key: str = "configuration"
 
 
 class TextReply(NamedTuple):
-    """Give the configuration text in force; revision 0 means none."""
+    """Give a published text; revision 0 means none."""
 
     revision: int
     text: str
--- a/src/dogwoodshed/_internal/mesh/service.py
+++ b/src/dogwoodshed/_internal/mesh/service.py
@@ -22,14 +22,14 @@
     Leaving,
     ServiceLoad,
 )
+from dogwoodshed._internal.mesh.redial import RedialPace
+from dogwoodshed._internal.mesh.traffic import PeerTraffic, TrafficCounter
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.settings import MeshSettings, Settings, split_address
 
 Handler = Callable[[str, Any], Any | Awaitable[Any]]
 
 HELLO_TIMEOUT_S = 1.0
-REDIAL_FIRST_S = 0.05
-REDIAL_MOST_S = 1.0
 FLUSH_TIMEOUT_S = 0.5
 
 
@@ -40,13 +40,7 @@
     revision: int
     digest: str
     loads: tuple[ServiceLoad, ...] = ()
-
-
-class PeerTraffic(NamedTuple):
-    """Bytes exchanged with a peer over all its connections."""
-
-    sent: int
-    received: int
+    hosts_revision: int = 0
 
 
 class Mesh(Service):
@@ -75,12 +69,17 @@
             PROTOCOL_VERSION, settings.id, self._incarnation, settings.data_centre
         )
         self._connections: dict[str, Connection] = {}
-        self._handlers: dict[type, Handler] = {}
+        self._handlers: dict[type, list[Handler]] = {}
+        self._connect_listeners: list[Callable[[str], None]] = []
         self._pause_listeners: list[Callable[[float], None]] = []
-        self._pauses = PauseDetector(clock, settings.mesh.dead_after_s)
-        self._dialling: dict[str, asyncio.Future[None]] = {}
+        # Peers count silence from the last heartbeat, so a pause that is shorter by
+        # one heartbeat may already have cost this gateway its place.
+        self._pauses = PauseDetector(
+            clock, settings.mesh.dead_after_s - settings.mesh.heartbeat_s
+        )
+        self._dialling: dict[str, RedialPace] = {}
         self._answering: set[asyncio.Task[None]] = set()
-        self._finished_traffic: dict[str, PeerTraffic] = {}
+        self._traffic = TrafficCounter()
         self._sequence = 0
         self._listener: asyncio.Server | None = None
 
@@ -98,14 +97,15 @@
 
     @property
     def traffic(self) -> Mapping[str, PeerTraffic]:
-        totals = dict(self._finished_traffic)
-        for peer_id, connection in self._connections.items():
-            totals[peer_id] = _add_traffic(totals.get(peer_id), connection)
-        return totals
+        return self._traffic.totals(self._connections)
 
     def subscribe(self, message_type: type, handler: Handler) -> None:
         """Answer messages of a type; the handler may be a coroutine function."""
-        self._handlers[message_type] = handler
+        self._handlers.setdefault(message_type, []).append(handler)
+
+    def on_connect(self, listener: Callable[[str], None]) -> None:
+        """Call a listener with the peer's id at every new connection."""
+        self._connect_listeners.append(listener)
 
     def on_pause(self, listener: Callable[[float], None]) -> None:
         """Call a listener after the process did not run for a while."""
@@ -154,15 +154,14 @@
         while not self.should_stop:
             for peer_id, address in self._membership.addresses.items():
                 if peer_id not in self._dialling:
-                    self._dialling[peer_id] = self.add_future(
-                        self._keep_dialled(peer_id, address)
-                    )
+                    self._dialling[peer_id] = RedialPace(self._random)
+                    self.add_future(self._keep_dialled(peer_id, address))
             await self.sleep(self._settings.heartbeat_s)
 
     @Service.task
     async def _send_heartbeats(self) -> None:
         while not self.should_stop:
-            self._check_pause()
+            self.check_pause()
             self._sequence += 1
             self.broadcast(Heartbeat(self._sequence, *self._heartbeat_state()))
             self._membership.expire()
@@ -172,17 +171,22 @@
             )
 
     async def _keep_dialled(self, peer_id: str, address: str) -> None:
-        delay = REDIAL_FIRST_S
+        pace = self._dialling[peer_id]
         while not self.should_stop and self._membership.address(peer_id) == address:
-            if peer_id not in self._connections:
-                try:
-                    await self._dial(address)
-                    delay = REDIAL_FIRST_S
-                except (OSError, MeshError):
-                    self._metrics.increment("mesh.dial_failed")
-            await self.sleep(self._random.uniform(delay / 2, delay))
-            delay = min(REDIAL_MOST_S, delay * 2)
-        self._dialling.pop(peer_id, None)
+            if peer_id in self._connections:
+                await pace.wait_lost(self._settings.dead_after_s)
+                continue
+            started = self._clock.monotonic()
+            try:
+                await self._dial(address)
+            except (OSError, MeshError) as error:
+                self._metrics.increment("mesh.dial_failed")
+                refused = isinstance(error, ConnectionRefusedError)
+                if refused and peer_id not in self._connections:
+                    self._membership.note_refused(peer_id)
+            pace.note_attempt(self._clock.monotonic() - started)
+            await self.sleep(pace.next_delay())
+        del self._dialling[peer_id]
 
     async def _dial(self, address: str) -> None:
         async with asyncio.timeout(HELLO_TIMEOUT_S):
@@ -217,16 +221,18 @@
             return
         try:
             while (envelopes := await connection.receive()) is not None:
-                self._check_pause()
+                self.check_pause()
                 for envelope in envelopes:
-                    self._handle(connection, envelope)
+                    # What a closed connection still holds is out of date.
+                    if not connection.closing:
+                        self._handle(connection, envelope)
         finally:
             connection.close()
             if self._connections.get(peer_id) is connection:
                 del self._connections[peer_id]
-            self._finished_traffic[peer_id] = _add_traffic(
-                self._finished_traffic.get(peer_id), connection
-            )
+                if peer_id in self._dialling:
+                    self._dialling[peer_id].note_lost()
+            self._traffic.note_finished(connection)
 
     def _adopt(self, connection: Connection) -> bool:
         """Use a connection unless a better one to the same peer is open."""
@@ -245,18 +251,28 @@
         self._membership.note_connected(hello)
         self._sequence += 1
         connection.send(Heartbeat(self._sequence, *self._heartbeat_state()))
+        for listener in self._connect_listeners:
+            listener(hello.peer_id)
         return True
 
     def _handle(self, connection: Connection, envelope: Envelope) -> None:
         peer_id, message = connection.hello.peer_id, envelope.message
         if isinstance(message, Heartbeat):
-            self._membership.note_heartbeat(peer_id, message)
+            incarnation = connection.hello.incarnation
+            self._membership.note_heartbeat(peer_id, incarnation, message)
         elif isinstance(message, Leaving):
-            self._membership.note_leaving(peer_id)
-        handler = self._handlers.get(type(message))
-        if handler is None:
-            return
-        answer = handler(peer_id, message)
+            self._membership.note_leaving(peer_id, connection.hello.incarnation)
+        for handler in self._handlers.get(type(message), ()):
+            try:
+                answer = handler(peer_id, message)
+            except Exception:
+                # A faulty message of one peer must not end this process.
+                self._metrics.increment("mesh.handler_failed")
+                logging.exception("%s from %s failed", type(message).__name__, peer_id)
+            else:
+                self._answer(connection, envelope, answer)
+
+    def _answer(self, connection: Connection, envelope: Envelope, answer: Any) -> None:
         if inspect.isawaitable(answer):
             task = asyncio.ensure_future(
                 self._answer_later(connection, envelope, answer)
@@ -273,7 +289,8 @@
         if message is not None and envelope.request_id:
             connection.send(message, -envelope.request_id)
 
-    def _check_pause(self) -> None:
+    def check_pause(self) -> None:
+        """Drop everything that was learned from peers if the process was paused."""
         gap = self._pauses.tick()
         if gap:
             self._metrics.increment("pauses")
@@ -290,10 +307,3 @@
             if not self._membership.heard_recently(peer_id):
                 self._metrics.increment("mesh.silent_closed")
                 connection.close()
-
-
-def _add_traffic(total: PeerTraffic | None, connection: Connection) -> PeerTraffic:
-    total = total or PeerTraffic(0, 0)
-    return PeerTraffic(
-        total.sent + connection.sent_bytes, total.received + connection.received_bytes
-    )
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -83,6 +83,12 @@
         """Send a signal to the process."""
         self._process.send_signal(number)
 
+    async def kill(self) -> None:
+        """End the process without warning."""
+        if self.running:
+            self._process.kill()
+            await self._process.wait()
+
     async def wait(self) -> int:
         """Wait until the process ends and return its exit code."""
         return await self._process.wait()
@@ -98,6 +104,7 @@
         self._links: dict[tuple[int, int], tuple[str, int]] = {}
         self.gateways: list[GatewayProcess] = []
         self.upstreams: dict[str, list[str]] = {}
+        self._platform_link = ""
         self.platform = ""
 
     @property
@@ -127,13 +134,23 @@
         *,
         data_centres: Sequence[str] = ("dc-1",),
         with_links: bool = False,
+        platform_link_for: Sequence[int] = (),
         **settings: Any,
     ) -> None:
-        """Start gateways that know each other and wait until all serve."""
+        """Start gateways that know each other and wait until all serve.
+
+        Those in `platform_link_for` reach the platform over a link that can be cut.
+        """
         ports = free_ports(3 * count)
         mesh = [f"127.0.0.1:{port}" for port in ports[:count]]
         if with_links:
             await self._start_links(mesh)
+        platforms = dict.fromkeys(range(count), self.platform)
+        if platform_link_for:
+            order = {"targets": [self.platform]}
+            answer = await self._start_stand_in("link", order)
+            self._platform_link = answer["control"]
+            platforms |= dict.fromkeys(platform_link_for, answer["addresses"][0])
         for index in range(count):
             peers = [
                 {"id": f"g{other:02d}", "address": self._route(index, other, mesh)}
@@ -151,8 +168,11 @@
                         "administration": {
                             "listen": f"127.0.0.1:{ports[2 * count + index]}"
                         },
-                        "platform": {"address": self.platform},
                         **settings,
+                        "platform": {
+                            "address": platforms[index],
+                            **settings.get("platform", {}),
+                        },
                     },
                     Path(self._directory.name),
                 )
@@ -206,12 +226,14 @@
                 numbers.append(number)
         await self._post(control, {"links": numbers, "cut": cut})
 
+    async def set_platform_cut(self, cut: bool) -> None:
+        """Cut or mend the link to the platform."""
+        await self._post(self._platform_link, {"links": [0], "cut": cut})
+
     async def stop(self) -> None:
         """End every process that this fleet started."""
         for gateway in self.gateways:
-            if gateway.running:
-                gateway.send_signal(signal.SIGKILL)
-                await gateway.wait()
+            await gateway.kill()
         for helper in self._helpers:
             if helper.returncode is None:
                 helper.kill()
--- a/src/dogwoodshed/_internal/standins/platform.py
+++ b/src/dogwoodshed/_internal/standins/platform.py
@@ -19,6 +19,8 @@
         self._down = False
         # While stale, readers see this older state.
         self._stale: tuple[dict[str, tuple[str, int]], int] | None = None
+        self._history: list[tuple[dict[str, tuple[str, int]], int]] = []
+        self._call_times: list[float] = []
         self._runner: web.AppRunner | None = None
         self._port = 0
 
@@ -36,6 +38,7 @@
 
     def put(self, key: str, text: str) -> int:
         """Publish a value and return its revision."""
+        self._history.append((dict(self._values), self._index))
         self._index += 1
         self._values[key] = (text, self._index)
         self._wake()
@@ -51,11 +54,20 @@
         self._stale = (dict(self._values), self._index) if stale else None
         self._wake()
 
-    def restore(self, values: dict[str, tuple[str, int]], index: int) -> None:
-        """Serve an older state, as after a restore from a snapshot."""
-        self._stale = (values, index)
+    def rewind(self, changes: int) -> None:
+        """Serve the state before the last changes, as a stale replica does."""
+        self._stale = self._history[-changes]
         self._wake()
 
+    def busiest_second(self) -> int:
+        """Return the most calls within any second, each waiting watch counted once."""
+        most = first = 0
+        for last, at in enumerate(self._call_times):
+            while self._call_times[first] <= at - 1.0:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
     async def start(self, port: int = 0) -> None:
         """Listen on loopback."""
         application = web.Application()
@@ -75,6 +87,7 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         self._calls += 1
+        self._call_times.append(asyncio.get_running_loop().time())
         if self._down:
             return web.Response(status=500)
         index = int(request.query.get("index", "0"))
@@ -123,8 +136,17 @@
             self.set_down(order["down"])
         if "stale" in order:
             self.set_stale(order["stale"])
+        if "rewind" in order:
+            self.rewind(order["rewind"])
+        if "reset_counts" in order:
+            self._call_times.clear()
         return web.json_response(
-            {"index": self._index, "calls": self._calls, "watching": self._watching}
+            {
+                "index": self._index,
+                "calls": self._calls,
+                "watching": self._watching,
+                "busiest_second": self.busiest_second(),
+            }
         )
 
     def _wake(self) -> None:
--- /dev/null
+++ b/tests/lib/running_fleet.py
@@ -0,0 +1,114 @@
+"""Run a fleet for a scenario and observe which text each gateway serves by."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import aiohttp
+
+from dogwoodshed._internal.standins.fleet import Fleet, GatewayProcess, UpstreamGroup
+from tests.lib import builders
+
+POLL_S = 0.02
+SERVICE = "profiles"
+
+
+class RunningFleet:
+    """Drive a fleet from the steps of a scenario, which are not coroutines."""
+
+    def __init__(self, features: dict[str, bool]) -> None:
+        self._runner = asyncio.Runner()
+        self._watchers: list[asyncio.Task[None]] = []
+        self.features = features
+        self.fleet = Fleet()
+        self.texts = 0
+        # The newest text seen in use, by gateway; it stays over restarts.
+        self.newest: dict[str, int] = {}
+        # Calls served by an older text than one seen before on that gateway.
+        self.reverted: list[tuple[str, int, int]] = []
+
+    @classmethod
+    def from_context(cls, context: Any) -> "RunningFleet":
+        """Create a fleet that ends with the scenario; `-D off=NAME,...` cuts features.
+
+        A scenario must fail when the mechanism that it tests is switched off.
+        """
+        names = context.config.userdata.get("off", "").split(",")
+        running = cls({name: False for name in names if name})
+        context.add_cleanup(running.close)
+        return running
+
+    def run(self, coroutine: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine to its end."""
+        return self._runner.run(coroutine)
+
+    def close(self) -> None:
+        """End everything."""
+        for task in self._watchers:
+            task.cancel()
+        self.run(self.fleet.stop())
+        self._runner.close()
+
+    async def start(self, count: int, upstreams: int = 2, **settings: Any) -> None:
+        """Start platform, upstreams and gateways with text 1 in force."""
+        await self.fleet.start_platform()
+        group = UpstreamGroup(SERVICE, upstreams, {"mean_ms": 2.0})
+        await self.fleet.start_upstreams([group])
+        await self.publish()
+        await self.start_gateways(count, **settings)
+
+    async def start_gateways(self, count: int, **settings: Any) -> None:
+        """Start the gateways and watch the texts that they serve by."""
+        settings = {"routing": "round_robin", "features": self.features, **settings}
+        await self.fleet.start_gateways(count, **settings)
+        for gateway in self.fleet.gateways:
+            self.newest[gateway.id] = 0
+            self._watchers.append(asyncio.ensure_future(self._watch(gateway)))
+
+    async def publish(self, **changes: Any) -> int:
+        """Publish the next text, which adds the service `text-N`."""
+        self.texts += 1
+        addresses = tuple(self.fleet.upstreams[SERVICE])
+        text = builders.configuration_text(
+            builders.service_text(SERVICE, addresses, **changes),
+            builders.service_text(f"text-{self.texts}", addresses),
+        )
+        return await self.fleet.publish(json.dumps(text))
+
+    async def wait_for(
+        self, condition: Callable[[], bool | Awaitable[bool]], bound: float
+    ) -> bool:
+        """Wait until a condition holds; tell whether it did within the bound."""
+        try:
+            async with asyncio.timeout(bound):
+                while True:
+                    holds = condition()
+                    if isinstance(holds, Awaitable):
+                        holds = await holds
+                    if holds:
+                        return True
+                    await asyncio.sleep(POLL_S)
+        except TimeoutError:
+            return False
+
+    async def call(self, gateway: GatewayProcess, service: str) -> int:
+        """Return the status of a call, 0 without an answer."""
+        url = f"http://{gateway.address}/{service}"
+        try:
+            async with self.fleet.session.get(
+                url, timeout=aiohttp.ClientTimeout(total=2.0)
+            ) as response:
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def _watch(self, gateway: GatewayProcess) -> None:
+        while True:
+            for text in range(1, self.texts + 1):
+                newest = self.newest[gateway.id]
+                if await self.call(gateway, f"text-{text}") == 200:
+                    if text < newest:
+                        self.reverted.append((gateway.id, newest, text))
+                    self.newest[gateway.id] = max(text, self.newest[gateway.id])
+            await asyncio.sleep(POLL_S)
