Run a keyed non-idempotent call at most once

A repeat of such a call, for example by a van whose signal dropped, reached the upstream again. The gateway now claims the key at its three holders, the gateways with the highest rendezvous scores among the listed ones, and sends the call after a majority has granted it (with one or two listed gateways: all of them). A repeat gets the stored answer, waits for the first call, or is told that its outcome is unknown.

A holder votes only on keys whose holders are the same in every list of gateways since the last one for which all listed gateways have sent their records. 60 seeds of random repeats, partitions, restarts and list changes on a virtual clock ran no key twice.

--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -8,6 +8,7 @@
 from dogwoodshed._internal import plugins, registry
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.idempotency.service import Idempotency
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.mesh.service import HeartbeatState, Mesh
 from dogwoodshed._internal.metrics import Metrics
@@ -67,6 +68,10 @@
             self._metrics,
         )
         self._ready = asyncio.Event()
+        self._keys = Idempotency(
+            self._mesh, self._membership.members, self._clock, self._metrics
+        )
+        self._membership.subscribe(self._keys.apply_members)
 
     def _create_router(self) -> Router:
         policy = registry.lookup(registry.ROUTING, self._settings.routing)
@@ -108,20 +113,25 @@
             self._clock,
             self._metrics,
         )
+        forwarder = self._relay
+        if settings.enabled("idempotency"):
+            forwarder = self._keys.wrap(self._relay)
         self._server = ProxyServer(
             self._store,
-            self._relay,
+            forwarder,
             _CountingRecorder(self._metrics),
             settings.limits,
             self._clock,
             self._metrics,
         )
         await self.add_runtime_dependency(self._mesh)
+        await self.add_runtime_dependency(self._keys)
         await self.add_runtime_dependency(self._watcher)
 
     async def on_started(self) -> None:
         """Serve once a configuration is in force."""
         await self.wait(self._watcher.first_configuration)
+        await self._keys.join(self._settings.join_timeout_s)
         await self._server.listen(*split_address(self._settings.listen))
         self._state = STATE_READY
         self._ready.set()
@@ -130,9 +140,11 @@
     async def on_stop(self) -> None:
         """Finish every request in flight, then stop."""
         self._state = STATE_LEAVING
+        self._keys.leave()
         await self._mesh.announce_leaving()
         self._server.stop_accepting()
         await self._server.drain(self._settings.stop_timeout_s)
+        await self._keys.hand_over()
         await self._pools.close()
         self._metrics.flush()
         logging.info("gateway %s stopped", self._settings.id)
--- /dev/null
+++ b/src/dogwoodshed/_internal/idempotency/forwarder.py
@@ -0,0 +1,86 @@
+"""Forward calls so that a keyed non-idempotent one runs at most once."""
+
+import asyncio
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.exceptions import (
+    FirstCallUnknownError,
+    NotRunError,
+    UpstreamTimeoutError,
+)
+from dogwoodshed._internal.idempotency.answers import (
+    decode_answer,
+    encode_answer,
+    fingerprint,
+    read_whole,
+    scoped_key,
+)
+from dogwoodshed._internal.idempotency.claimant import Claimant
+from dogwoodshed._internal.idempotency.keeper import Attempt, KeyKeeper
+from dogwoodshed._internal.idempotency.records import State
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.proxy.relay import (
+    NON_IDEMPOTENT_GRACE_S,
+    Answer,
+    OutboundRequest,
+)
+from dogwoodshed._internal.proxy.server import Forwarder
+
+
+class IdempotentForwarder:
+    """Claim the key of a call before another forwarder sends the call."""
+
+    def __init__(
+        self,
+        inner: Forwarder,
+        keeper: KeyKeeper,
+        claimant: Claimant,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._inner = inner
+        self._keeper = keeper
+        self._claimant = claimant
+        self._clock = clock
+        self._metrics = metrics
+
+    async def forward(self, call: Call, request: OutboundRequest) -> Answer:
+        """Return the answer of the call or of its first try; raises CallError."""
+        if call.key is None or call.idempotent:
+            return await self._inner.forward(call, request)
+        self._metrics.increment("idempotency.calls")
+        found = await self._claimant.claim(call, scoped_key(call), fingerprint(request))
+        if isinstance(found, Attempt):
+            return await self._send(call, request, found)
+        if found.state != State.ANSWERED:
+            raise FirstCallUnknownError(f"sent by {found.dispatcher}")
+        if not found.answer:
+            raise FirstCallUnknownError("it was answered, but its answer is not kept")
+        self._metrics.increment("idempotency.replayed")
+        return decode_answer(found.answer)
+
+    async def _send(
+        self, call: Call, request: OutboundRequest, attempt: Attempt
+    ) -> Answer:
+        state, stored = State.UNKNOWN, b""
+        try:
+            answer = await self._inner.forward(call, request)
+            limit = call.deadline + NON_IDEMPOTENT_GRACE_S - self._clock.monotonic()
+            async with asyncio.timeout(limit):
+                answer = await read_whole(answer)
+            state = State.ANSWERED
+            if answer.body is not None:
+                stored = encode_answer(answer)
+            return answer
+        except NotRunError:
+            state = State.ABSENT
+            raise
+        except TimeoutError:
+            raise UpstreamTimeoutError("answer not complete in time") from None
+        except asyncio.CancelledError:
+            if not call.dispatched:
+                state = State.ABSENT
+            raise
+        finally:
+            self._keeper.end(attempt, state, stored)
--- /dev/null
+++ b/src/dogwoodshed/_internal/idempotency/transfer.py
@@ -0,0 +1,150 @@
+"""Copy key records between gateways when their list changes."""
+
+import asyncio
+from collections.abc import Iterator
+
+from mode import Service
+
+from dogwoodshed._internal.exceptions import MeshError
+from dogwoodshed._internal.idempotency.holders import HolderView
+from dogwoodshed._internal.idempotency.keeper import claim_id
+from dogwoodshed._internal.idempotency.records import Record, RecordTable, State
+from dogwoodshed._internal.mesh.messages import (
+    Acknowledged,
+    KeyRecord,
+    Records,
+    RecordsRequest,
+)
+from dogwoodshed._internal.mesh.service import Mesh
+from dogwoodshed._internal.metrics import Metrics
+
+# Small enough that a transfer does not hold up heartbeats on the same connection.
+PART_BYTES = 256 * 1024
+PART_TIMEOUT_S = 2.0
+# A full table is about a hundred parts.
+FETCH_TIMEOUT_S = 10.0
+SETTLE_RETRY_S = 0.1
+RECORD_OVERHEAD_BYTES = 100
+
+
+class RecordTransfer(Service):
+    """Fetch records until the list of gateways is settled, and hand records over."""
+
+    mundane_level = "debug"
+
+    def __init__(
+        self, mesh: Mesh, view: HolderView, table: RecordTable, metrics: Metrics
+    ) -> None:
+        super().__init__()
+        self._mesh = mesh
+        self._view = view
+        self._table = table
+        self._metrics = metrics
+        # The gateways that sent their records for this generation of the list.
+        self._answered: set[str] = set()
+        self._answered_generation = -1
+        mesh.subscribe(Records, self._take_over)
+        mesh.subscribe(RecordsRequest, self._send_records)
+
+    async def settle(self) -> bool:
+        """Ask the gateways that have not sent their records; tell whether all have."""
+        generation = self._view.generation
+        if self._answered_generation != generation:
+            self._answered_generation = generation
+            self._answered = {self._mesh.id}
+        if not self._view.settled:
+            missing = [p for p in self._view.listed if p not in self._answered]
+            await asyncio.gather(*(self._fetch(peer, generation) for peer in missing))
+            if self._answered.issuperset(self._view.listed):
+                self._view.confirm(generation)
+        return self._view.settled
+
+    async def join(self, timeout: float) -> None:
+        """Wait until this gateway may vote, within a bound."""
+        try:
+            async with asyncio.timeout(timeout):
+                while not await self.settle():
+                    await asyncio.sleep(SETTLE_RETRY_S)
+        except TimeoutError:
+            self._metrics.increment("idempotency.join_timed_out")
+
+    async def hand_over(self) -> None:
+        """Give all records to their holders, before a planned stop."""
+        peers = [peer for peer in self._view.listed if peer != self._mesh.id]
+        await asyncio.gather(*(self._hand_over_to(peer) for peer in peers))
+
+    async def _hand_over_to(self, peer: str) -> None:
+        try:
+            for part in _parts(self._records_for(peer)):
+                await self._mesh.request(peer, Records(part), PART_TIMEOUT_S)
+        except MeshError:
+            self._metrics.increment("idempotency.hand_over_failed")
+
+    @Service.task
+    async def _keep_settled(self) -> None:
+        while not self.should_stop:
+            await self.settle()
+            await self.sleep(SETTLE_RETRY_S)
+
+    async def _fetch(self, peer: str, generation: int) -> None:
+        request = RecordsRequest(self._view.digest)
+        try:
+            last = await self._mesh.request(peer, request, FETCH_TIMEOUT_S)
+        except MeshError:
+            return
+        kept = self._take_over(peer, last) is not None
+        if kept and last.complete and self._answered_generation == generation:
+            self._answered.add(peer)
+
+    async def _send_records(self, peer_id: str, request: RecordsRequest) -> Records:
+        if request.listed != self._view.digest:
+            return Records(())
+        *parts, last = _parts(self._records_for(peer_id))
+        try:
+            for part in parts:
+                await self._mesh.request(peer_id, Records(part), PART_TIMEOUT_S)
+        except MeshError:
+            return Records(())
+        return Records(last, complete=True)
+
+    def _records_for(self, peer: str) -> list[KeyRecord]:
+        return [
+            KeyRecord(
+                key,
+                record.state.value,
+                *record.claim,
+                record.fingerprint,
+                record.answer,
+                int(age * 1000),
+            )
+            for key, record, age in self._table.items()
+            if peer in self._view.holders(key)
+        ]
+
+    def _take_over(self, peer_id: str, message: Records) -> Acknowledged | None:
+        """Keep records from a peer; confirm nothing if the table is full."""
+        kept = True
+        for handed in message.records:
+            known = self._table.get(handed.key)
+            if known is not None and known.state is not State.PENDING:
+                continue
+            claim = claim_id(handed.dispatcher, handed.incarnation, handed.attempt)
+            record = Record(
+                State(handed.state), claim, handed.fingerprint, handed.answer
+            )
+            if known is None or record.state is not State.PENDING:
+                kept &= self._table.put(handed.key, record, handed.age_ms / 1000)
+        return Acknowledged() if kept else None
+
+
+def _parts(records: list[KeyRecord]) -> Iterator[tuple[KeyRecord, ...]]:
+    """Split records into parts of bounded size; there is at least one part."""
+    part: list[KeyRecord] = []
+    size = 0
+    for record in records:
+        part.append(record)
+        size += len(record.answer) + RECORD_OVERHEAD_BYTES
+        if size >= PART_BYTES:
+            yield tuple(part)
+            part, size = [], 0
+    yield tuple(part)
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -5,7 +5,7 @@
 understand each other during an upgrade.
 """
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 PROTOCOL_VERSION = 1
 
@@ -100,10 +100,14 @@
     """Ask a holder to record a key before the call is sent."""
 
     service: str
-    key: str
+    # A digest of the key within its service and caller.
+    key: bytes
     fingerprint: bytes
     dispatcher: str
     incarnation: int
+    attempt: int = 0
+    # A digest of the holders that the dispatcher asks.
+    holders: bytes = b""
 
 
 class KeyState(NamedTuple):
@@ -117,25 +121,52 @@
 
 
 class Result(NamedTuple):
-    """Tell the holders of a key how its call ended."""
+    """Tell the holders of a key how its call ended; "absent" releases the key."""
 
     service: str
-    key: str
+    key: bytes
     state: str
     answer: bytes = b""
+    fingerprint: bytes = b""
+    incarnation: int = 0
+    attempt: int = 0
 
 
 class Lookup(NamedTuple):
     """Ask what a gateway knows of a key."""
 
     service: str
-    key: str
+    key: bytes
+    # Answer only once the call that the gateway itself sends has ended.
+    wait: bool = False
+
+
+class KeyRecord(NamedTuple):
+    """The record of one key."""
+
+    key: bytes
+    state: str
+    dispatcher: str
+    incarnation: int
+    attempt: int
+    fingerprint: bytes
+    answer: bytes
+    age_ms: int
 
 
 class Records(NamedTuple):
-    """Hand over key records, on a planned stop."""
+    """Hand over key records, on a planned stop or as answer to RecordsRequest."""
+
+    records: tuple[KeyRecord, ...]
+    # In an answer: all records were sent, the last ones in this message.
+    complete: bool = False
+
+
+class RecordsRequest(NamedTuple):
+    """Ask for the records of all keys that the asking gateway holds."""
 
-    records: tuple[Any, ...]
+    # A digest of the listed gateways; answered only by a gateway with the same list.
+    listed: bytes
 
 
 class Summary(NamedTuple):
@@ -180,4 +211,5 @@
     16: SummaryRequest,
     17: SummaryReply,
     18: Acknowledged,
+    19: RecordsRequest,
 }
--- a/src/dogwoodshed/_internal/proxy/body.py
+++ b/src/dogwoodshed/_internal/proxy/body.py
@@ -41,6 +41,11 @@
         """Tell whether the body can still be sent."""
         return self._rest is None or not self._consumed
 
+    @property
+    def whole(self) -> bool:
+        """Tell whether the head is the whole body."""
+        return self._rest is None
+
     @property
     def head(self) -> bytes:
         return self._head
--- /dev/null
+++ b/src/dogwoodshed/_internal/rendezvous.py
@@ -0,0 +1,14 @@
+"""Order members for a key by rendezvous hashing."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+
+def ranked(key: bytes | str, members: Iterable[str]) -> list[str]:
+    """Return the members by falling score; removing one keeps the others' order."""
+    data = key.encode() if isinstance(key, str) else key
+    return sorted(members, key=lambda member: (_score(data, member), member))
+
+
+def _score(data: bytes, member: str) -> bytes:
+    return blake2b(data, digest_size=8, key=member.encode()[:64]).digest()
--- /dev/null
+++ b/tests/unit/test_idempotency.py
@@ -0,0 +1,291 @@
+"""Check that keyed calls run at most once."""
+
+import asyncio
+import unittest
+
+from dogwoodshed._internal.exceptions import (
+    FirstCallUnknownError,
+    KeyConflictError,
+    KeyUnsettledError,
+    NotRunError,
+    OutcomeUnknownError,
+)
+from dogwoodshed._internal.idempotency.answers import REPLAYED
+from dogwoodshed._internal.idempotency.records import (
+    ClaimId,
+    Record,
+    RecordTable,
+    State,
+)
+from dogwoodshed._internal.proxy.relay import Answer
+from tests.lib.key_fleet import READ, KeyFleet
+from tests.lib.virtual_loop import VirtualLoop, run_virtually
+
+
+def with_fleet(count):
+    """Run a test's coroutine with a settled fleet on a virtual clock."""
+
+    def decorate(test):
+        def run(self):
+            async def scenario(loop):
+                fleet = KeyFleet(loop, count)
+                await asyncio.sleep(1.0)
+                await test(self, fleet)
+
+            run_virtually(scenario)
+
+        run.__doc__ = test.__doc__
+        return run
+
+    return decorate
+
+
+class RepeatTest(unittest.TestCase):
+    """Calls that repeat a key."""
+
+    @with_fleet(5)
+    async def test_later_repeat(self, fleet):
+        """A repeat through another gateway that runs again, or loses the answer."""
+        first = await fleet.call("g0", "k")
+        repeat = await fleet.call("g1", "k")
+        self.assertEqual((repeat.status, repeat.body), (first.status, first.body))
+        self.assertEqual((repeat.headers["X-Order"], fleet.runs), ("7", {"k": 1}))
+        self.assertEqual(repeat.headers[REPLAYED], "true")
+        self.assertNotIn(REPLAYED, first.headers)
+
+    @with_fleet(5)
+    async def test_concurrent_repeats(self, fleet):
+        """Repeats at the same moment that run twice or do not get the one answer."""
+        answers = await asyncio.gather(
+            *(fleet.call(f"g{n % 5}", "k", limit=5.0) for n in range(10))
+        )
+        self.assertEqual({answer.body for answer in answers}, {b"k/1"})
+        self.assertEqual(fleet.runs, {"k": 1})
+
+    @with_fleet(1)
+    async def test_fleet_of_one(self, fleet):
+        """A single gateway that waits for others, or runs a repeat."""
+        await fleet.call("g0", "k")
+        repeat = await fleet.call("g0", "k")
+        self.assertEqual((repeat.body, fleet.runs), (b"k/1", {"k": 1}))
+
+    @with_fleet(3)
+    async def test_conflict(self, fleet):
+        """The answer to one request handed out for a different one."""
+        await fleet.call("g0", "k", body=b"one")
+        for gateway in fleet.listed:
+            error = await fleet.call(gateway, "k", body=b"two")
+            self.assertIsInstance(error, KeyConflictError)
+        self.assertEqual(fleet.runs, {"k": 1})
+
+    @with_fleet(3)
+    async def test_release(self, fleet):
+        """A key that stays taken by a call that did not run."""
+        fleet.unreachable_share = 1.0
+        self.assertIsInstance(await fleet.call("g0", "k"), NotRunError)
+        fleet.unreachable_share = 0.0
+        self.assertIsInstance(await fleet.call("g1", "k"), Answer)
+
+    @with_fleet(3)
+    async def test_idempotent_calls_make_no_claim(self, fleet):
+        """Calls that may run twice pay for claims."""
+        sent = fleet.meshes["g0"].sent
+        await fleet.call("g0", "k", kind=READ)
+        await fleet.call("g0", "k", kind=READ)
+        self.assertEqual((fleet.meshes["g0"].sent, fleet.runs["k"]), (sent, 2))
+
+    @with_fleet(3)
+    async def test_cut_call(self, fleet):
+        """A repeat of a call of unknown outcome that runs it again."""
+        fleet.cut_share = 1.0
+        self.assertIsInstance(await fleet.call("g0", "k"), OutcomeUnknownError)
+        for gateway in fleet.listed:
+            error = await fleet.call(gateway, "k")
+            self.assertIsInstance(error, FirstCallUnknownError)
+        self.assertEqual(fleet.runs, {"k": 1})
+
+
+class FailureTest(unittest.TestCase):
+    """Gateways that stop, restart or lose sight of each other."""
+
+    @with_fleet(5)
+    async def test_dispatcher_killed(self, fleet):
+        """A repeat that runs again because the first dispatcher died."""
+        fleet.loop.create_task(fleet.call("g0", "k"))
+        while not fleet.runs:
+            await asyncio.sleep(0.01)
+        fleet.kill("g0")
+        error = await fleet.call("g1", "k", limit=5.0)
+        self.assertIsInstance(error, FirstCallUnknownError)
+        fleet.start("g0", incarnation=2)
+        await asyncio.sleep(5.0)
+        error = await fleet.call("g0", "k", limit=5.0)
+        self.assertIsInstance(error, FirstCallUnknownError)
+        self.assertEqual(fleet.runs, {"k": 1})
+
+    @with_fleet(5)
+    async def test_partition(self, fleet):
+        """A side without a majority that runs calls, or says that they may have run."""
+        fleet.side = {"g0", "g1"}
+        for number in range(20):
+            await asyncio.gather(
+                fleet.call("g0", f"k{number}"), fleet.call("g4", f"k{number}")
+            )
+        self.assertEqual(set(fleet.runs.values()), {1})
+        self.assertEqual(len(fleet.runs), 20)
+        fleet.side = {"g0"}
+        errors = [await fleet.call("g0", f"m{number}") for number in range(20)]
+        self.assertEqual({type(error) for error in errors}, {KeyUnsettledError})
+
+    @with_fleet(2)
+    async def test_two_listed_need_both(self, fleet):
+        """Either half of a split pair runs a call."""
+        fleet.side = {"g0"}
+        for gateway in fleet.listed:
+            error = await fleet.call(gateway, "k")
+            self.assertIsInstance(error, KeyUnsettledError)
+        self.assertEqual(fleet.runs, {})
+
+    @with_fleet(3)
+    async def test_restarted_holder_without_peers(self, fleet):
+        """A holder without memory votes before it has asked or waited."""
+        await fleet.call("g0", "k")
+        await asyncio.sleep(0.1)
+        fleet.kill("g2")
+        fleet.side = {"g1"}
+        fleet.start("g0", incarnation=2)
+        fleet.start("g2", incarnation=2)
+        await asyncio.sleep(300.0)
+        # g0 and g2 see each other and forgot the key; only g1 knows it.
+        self.assertIsInstance(await fleet.call("g2", "k"), KeyUnsettledError)
+        fleet.side = set()
+        await asyncio.sleep(5.0)
+        self.assertEqual((await fleet.call("g2", "k")).body, b"k/1")
+        self.assertEqual(fleet.runs, {"k": 1})
+
+    @with_fleet(5)
+    async def test_new_holder_learns(self, fleet):
+        """A change of the list that moves keys to holders that know nothing."""
+        keys = [f"k{number}" for number in range(30)]
+        await asyncio.gather(*(fleet.call("g0", key, limit=5.0) for key in keys))
+        await asyncio.sleep(0.1)
+        fleet.kill("g0")
+        fleet.kill("g1")
+        fleet.list_only("g2", "g3", "g4")
+        await asyncio.sleep(1.0)
+        for key in keys:
+            answer = await fleet.call("g3", key)
+            self.assertEqual((answer.body, answer.headers[REPLAYED]), _first(key))
+        self.assertEqual(set(fleet.runs.values()), {1})
+
+    @with_fleet(3)
+    async def test_planned_stop_hands_over(self, fleet):
+        """Answers that are lost with the gateways that stop one after the other."""
+        await fleet.call("g0", "k")
+        for number in (0, 1):
+            leaving = fleet.services[f"g{number}"]
+            leaving.leave()
+            fleet.list_only(*fleet.listed[1:])
+            await leaving.hand_over()
+            fleet.kill(f"g{number}")
+        await asyncio.sleep(1.0)
+        answer = await fleet.call("g2", "k")
+        self.assertEqual((answer.body, answer.headers[REPLAYED]), _first("k"))
+
+
+class InterleavingTest(unittest.TestCase):
+    """Random repeats, partitions, restarts and changes of the list."""
+
+    def test_seeds(self):
+        """Any order of events in which a key runs twice."""
+        answered = 0
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                runs, count = run_virtually(lambda loop, s=seed: self._run(loop, s))
+                self.assertLessEqual(max(runs.values(), default=0), 1, runs)
+                answered += count
+        # The test would say nothing if most calls were refused.
+        self.assertGreater(answered, 60 * 20)
+
+    async def _run(self, loop, seed):
+        fleet = KeyFleet(loop, 5, seed)
+        fleet.unreachable_share = fleet.cut_share = 0.1
+        source = fleet.random
+        await asyncio.sleep(1.0)
+        calls = []
+        trouble = loop.create_task(self._make_trouble(fleet))
+        for _ in range(120):
+            gateway = source.choice(sorted(fleet.meshes))
+            key = f"k{source.randrange(30)}"
+            calls.append(loop.create_task(fleet.call(gateway, key)))
+            await asyncio.sleep(source.expovariate(20.0))
+        results = await asyncio.gather(*calls)
+        trouble.cancel()
+        return fleet.runs, sum(isinstance(r, Answer) for r in results)
+
+    async def _make_trouble(self, fleet):
+        """Restart one gateway at a time and let it settle before the next.
+
+        A record outlives any single loss of memory; more is named as what remains.
+        """
+        source, everyone = fleet.random, fleet.listed
+        incarnation = 1
+        while True:
+            await asyncio.sleep(source.uniform(0.1, 1.0))
+            event = source.choice(("cut", "restart", "list", "mend"))
+            if event == "cut":
+                fleet.side = set(source.sample(everyone, source.randrange(1, 4)))
+            elif event == "list":
+                # Each gateway learns of the change at its own time.
+                count = source.randrange(3, 6)
+                fleet.listed = listed = tuple(sorted(source.sample(everyone, count)))
+                for own_id, service in fleet.services.items():
+                    fleet.loop.call_later(
+                        source.uniform(0, 0.5), fleet.tell, own_id, service, listed
+                    )
+            elif event == "restart":
+                fleet.side = set()
+                await asyncio.sleep(2.0)
+                incarnation += 1
+                fleet.start(source.choice(everyone), incarnation)
+                await asyncio.sleep(2.0)
+            else:
+                fleet.side = set()
+
+
+class RecordTableTest(unittest.TestCase):
+    """The bounds of the table."""
+
+    def setUp(self):
+        self.clock = VirtualLoop()
+        self.addCleanup(self.clock.close)
+        self.table = RecordTable(self.clock, max_records=3, max_total_answer_bytes=10)
+
+    def put(self, key, answer=b"", state=State.ANSWERED):
+        return self.table.put(key, Record(state, ClaimId("g", 1, 1), b"f", answer))
+
+    def test_full_table_keeps_its_records(self):
+        """A flood of keys pushes out a key that may still be repeated."""
+        self.assertTrue(all(self.put(key) for key in (b"a", b"b", b"c")))
+        self.assertFalse(self.put(b"d"))
+        self.assertIsNotNone(self.table.get(b"a"))
+        self.clock._jumping.now += 600.0
+        self.assertTrue(self.put(b"d"))
+        self.assertIsNone(self.table.get(b"a"))
+
+    def test_answers_make_room(self):
+        """Answers that exceed the byte bound, or take their record with them."""
+        self.put(b"a", b"1" * 6)
+        self.put(b"b", b"2" * 6)
+        self.assertEqual(self.table.get(b"a").answer, b"")
+        self.assertEqual((self.table.answer_bytes, len(self.table)), (6, 2))
+
+    def test_pending_outlives_the_longest_call(self):
+        """A record that expires while its call still runs."""
+        self.put(b"a", state=State.PENDING)
+        self.clock._jumping.now += 640.0
+        self.assertIsNotNone(self.table.get(b"a"))
+
+
+def _first(key):
+    return f"{key}/1".encode(), "true"
