Test votes on keys while the list of gateways changes

They now restart or unlist one gateway only while all listed ones are settled; cuts come at any time.

--- a/src/dogwoodshed/_internal/idempotency/service.py
+++ b/src/dogwoodshed/_internal/idempotency/service.py
@@ -46,6 +46,10 @@
     def table(self) -> RecordTable:
         return self._table
 
+    @property
+    def settled(self) -> bool:
+        return self._view.settled
+
     def wrap(self, inner: Forwarder) -> IdempotentForwarder:
         """Return a forwarder that claims the keys of calls before it sends them."""
         return IdempotentForwarder(
--- a/tests/lib/key_fleet.py
+++ b/tests/lib/key_fleet.py
@@ -155,6 +155,11 @@
         listed = tuple(sorted({own_id, *names}))
         service.apply_members(Members(own_id, listed, listed))
 
+    @property
+    def settled(self) -> bool:
+        """Tell whether every listed gateway has all the records of its keys."""
+        return all(self.services[own_id].settled for own_id in self.listed)
+
     def joined(self, first: str, second: str) -> bool:
         """Tell whether two gateways can exchange messages."""
         up = first in self.meshes and second in self.meshes
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -11,12 +11,14 @@
     OutcomeUnknownError,
 )
 from dogwoodshed._internal.idempotency.answers import REPLAYED
+from dogwoodshed._internal.idempotency.holders import HolderView, holder_set_digest
 from dogwoodshed._internal.idempotency.records import (
     ClaimId,
     Record,
     RecordTable,
     State,
 )
+from dogwoodshed._internal.mesh.messages import RecordsRequest
 from dogwoodshed._internal.proxy.relay import Answer
 from tests.lib.key_fleet import READ, KeyFleet
 from tests.lib.virtual_loop import VirtualLoop, run_virtually
@@ -224,33 +226,93 @@
         return fleet.runs, sum(isinstance(r, Answer) for r in results)
 
     async def _make_trouble(self, fleet):
-        """Restart one gateway at a time and let it settle before the next.
+        """Cut links at any time, but take one memory away at a time.
 
-        A record outlives any single loss of memory; more is named as what remains.
+        A record outlives the loss of one memory, and the next once it was copied; more
+        is named as what remains.
         """
         source, everyone = fleet.random, fleet.listed
         incarnation = 1
         while True:
             await asyncio.sleep(source.uniform(0.1, 1.0))
-            event = source.choice(("cut", "restart", "list", "mend"))
-            if event == "cut":
+            event = source.choice(("cut", "restart", "list", "mend", "mend"))
+            if event == "mend":
+                fleet.side = set()
+            elif event == "cut":
                 fleet.side = set(source.sample(everyone, source.randrange(1, 4)))
-            elif event == "list":
-                # Each gateway learns of the change at its own time.
-                count = source.randrange(3, 6)
-                fleet.listed = listed = tuple(sorted(source.sample(everyone, count)))
-                for own_id, service in fleet.services.items():
-                    fleet.loop.call_later(
-                        source.uniform(0, 0.5), fleet.tell, own_id, service, listed
-                    )
+            elif not fleet.settled:
+                continue
             elif event == "restart":
-                fleet.side = set()
-                await asyncio.sleep(2.0)
                 incarnation += 1
                 fleet.start(source.choice(everyone), incarnation)
-                await asyncio.sleep(2.0)
             else:
-                fleet.side = set()
+                # Each gateway learns of the change at its own time.
+                count = source.choice((4, 5))
+                fleet.listed = tuple(sorted(source.sample(everyone, count)))
+                for own_id, service in fleet.services.items():
+                    fleet.loop.call_later(
+                        source.uniform(0, 0.5),
+                        fleet.tell,
+                        own_id,
+                        service,
+                        fleet.listed,
+                    )
+                await asyncio.sleep(0.5)
+
+
+class HolderViewTest(unittest.TestCase):
+    """When a gateway may vote while the list of gateways changes."""
+
+    OLD, NEW = ("a", "b", "c", "d"), ("b", "c", "d", "e")
+
+    def setUp(self):
+        clock = VirtualLoop()
+        self.addCleanup(clock.close)
+        self.view = HolderView("b", self.OLD, clock, forgotten_for=1200.0)
+
+    def votes(self):
+        keys = [str(number).encode() for number in range(200)]
+        return {
+            key
+            for key in keys
+            if self.view.may_vote(key, holder_set_digest(self.view.holders(key)))
+        }
+
+    def test_changed_holders_wait(self):
+        """A vote before the old holders of a key were asked."""
+        self.assertEqual(self.votes(), set())
+        self.view.confirm(self.view.generation)
+        before = self.votes()
+        self.view.apply(self.NEW)
+        unsettled = self.votes()
+        self.assertTrue(set() < unsettled < before)
+        self.view.confirm(self.view.generation - 1)
+        self.assertEqual(self.votes(), unsettled)
+        self.view.confirm(self.view.generation)
+        self.assertTrue(self.votes() > unsettled)
+
+    def test_list_that_changes_back(self):
+        """A vote by the old list when others may have voted by the new one."""
+        self.view.confirm(self.view.generation)
+        before = self.votes()
+        self.view.apply(self.NEW)
+        self.view.apply(self.OLD)
+        self.assertLess(self.votes(), before)
+
+    def test_dispatcher_with_another_list(self):
+        """A vote for a claim that counts votes of other holders."""
+        self.view.confirm(self.view.generation)
+        key = self.votes().pop()
+        self.assertFalse(self.view.may_vote(key, holder_set_digest(("a", "b"))))
+
+    @with_fleet(3)
+    async def test_records_for_the_same_list_only(self, fleet):
+        """A gateway counted as asked while it still votes by an older list."""
+        mesh = fleet.meshes["g0"]
+        for listed, complete in ((fleet.listed, True), (("g0", "g1"), False)):
+            view = HolderView("g0", listed, fleet.loop, 0.0)
+            reply = await mesh.request("g1", RecordsRequest(view.digest), 1.0)
+            self.assertEqual(reply.complete, complete)
 
 
 class RecordTableTest(unittest.TestCase):
