Bound retries and hedge slow idempotent calls

Cause: a call moved to every upstream without bound, one that may have run was never repeated, and a refusal that followed such an attempt would have told the caller that the call did not run.

Change: retries/ holds the budgets. A call that did not run moves, the first time freely and then within one move per call of traffic. An idempotent call at depth 0 that may have run, or that got 500, 502, 503 or 504, is repeated at most twice within 10% of traffic. Idempotent calls are hedged after their kind's 95th percentile within 2%; the loser's connection closes. Once an attempt may have run, the caller is told its outcome or 'unknown', never 'not run'. proxy/relay.py now decides on attempts, proxy/attempts.py makes them.

--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -12,9 +12,12 @@
 from dogwoodshed._internal.mesh.service import HeartbeatState, Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.platform.watcher import PlatformWatcher
+from dogwoodshed._internal.proxy.attempts import Sender
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.relay import Relay
 from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer
+from dogwoodshed._internal.retries.hedges import HedgePolicy
+from dogwoodshed._internal.retries.policy import RetryPolicy
 from dogwoodshed._internal.routing.base import Router, RouterContext
 from dogwoodshed._internal.settings import Settings, split_address
 
@@ -101,13 +104,22 @@
         settings = self._settings
         fleet_size = len(settings.mesh.peers) + 1
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
-        self._relay = Relay(
+        sender = Sender(
             self._router,
             self._pools,
             registry.lookup(registry.LOAD_REPORT, "orca"),
             self._clock,
             self._metrics,
         )
+        self._relay = Relay(
+            self._router,
+            sender,
+            RetryPolicy.from_settings(settings),
+            HedgePolicy.from_settings(settings),
+            settings.limits.progress_timeout_s,
+            self._clock,
+            self._metrics,
+        )
         self._server = ProxyServer(
             self._store,
             self._relay,
--- /dev/null
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -0,0 +1,228 @@
+"""Send a call to one upstream and classify how that ends."""
+
+import asyncio
+from collections.abc import Callable
+
+import aiohttp
+from multidict import CIMultiDictProxy
+from yarl import URL
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.configuration.model import NotRunMark
+from dogwoodshed._internal.exceptions import (
+    BodyOverLimitError,
+    CallError,
+    DeadlineExpiredInQueueError,
+    UpstreamDisconnectedError,
+    UpstreamRefusedError,
+    UpstreamTimeoutError,
+    UpstreamUnreachableError,
+)
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.proxy import headers
+from dogwoodshed._internal.proxy.answers import Answer, OutboundRequest
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.proxy.connections import UpstreamPool, UpstreamPools
+from dogwoodshed._internal.proxy.load_reports import LoadReportReader
+from dogwoodshed._internal.routing.base import (
+    LoadReport,
+    Outcome,
+    OutcomeStatus,
+    Router,
+    Slot,
+)
+
+# Answers up to this size are read whole, so that a cut one can still become a 502.
+WHOLE_ANSWER_BYTES = 65_536
+# How long past its deadline a non-idempotent call may go on, so that its answer is
+# known to a caller that asks again with the same key.
+NON_IDEMPOTENT_GRACE_S = 30.0
+
+_STATUS_OF_ERROR = {
+    DeadlineExpiredInQueueError: OutcomeStatus.CANCELLED,
+    UpstreamUnreachableError: OutcomeStatus.UNREACHABLE,
+    UpstreamRefusedError: OutcomeStatus.REFUSED,
+    UpstreamTimeoutError: OutcomeStatus.TIMED_OUT,
+}
+
+
+class Attempt:
+    """One attempt on one slot, released exactly once."""
+
+    __slots__ = ("_clock", "_pool", "_report", "_router", "_slot", "_started", "limit")
+
+    def __init__(
+        self, router: Router, slot: Slot, pool: UpstreamPool, clock: Clock
+    ) -> None:
+        self._router = router
+        self._slot = slot
+        self._pool = pool
+        self._clock = clock
+        self._report: LoadReport | None = None
+        self._started = clock.monotonic()
+        self.limit: asyncio.Timeout | None = None
+        pool.enter()
+
+    @property
+    def pool(self) -> UpstreamPool:
+        return self._pool
+
+    def note_report(self, report: LoadReport | None) -> None:
+        """Keep the load report of the answer for the router."""
+        self._report = report
+
+    def end(self, status: OutcomeStatus) -> None:
+        """Release the slot with the outcome."""
+        elapsed = self._clock.monotonic() - self._started
+        self._router.release(self._slot, Outcome(status, elapsed, self._report))
+        self._pool.leave()
+
+
+class Sender:
+    """Make single attempts."""
+
+    def __init__(
+        self,
+        router: Router,
+        pools: UpstreamPools,
+        read_report: LoadReportReader,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._router = router
+        self._pools = pools
+        self._read_report = read_report
+        self._clock = clock
+        self._metrics = metrics
+        self._loop = asyncio.get_running_loop()
+
+    async def send(
+        self,
+        call: Call,
+        request: OutboundRequest,
+        slot: Slot,
+        patience: float,
+        may_give_up: Callable[[], bool],
+    ) -> Answer:
+        """Make one attempt on a slot; raises CallError.
+
+        An attempt without progress marks its pool after `patience` and ends then if
+        `may_give_up` allows it.
+        """
+        pool = self._pools.pool(
+            slot.upstream.address, call.service.connections_per_upstream
+        )
+        attempt = Attempt(self._router, slot, pool, self._clock)
+        timer = self._loop.call_later(patience, self._stalled, attempt, may_give_up)
+        status: OutcomeStatus | None = OutcomeStatus.CANCELLED
+        try:
+            answer = await self._exchange(call, request, attempt)
+            if answer.response is not None:
+                # The slot stays in use until the caller has the last byte.
+                answer.attach(attempt.end, lambda: self._suspect(pool))
+                status = None
+            else:
+                status = OutcomeStatus.ANSWERED
+                if answer.status >= 500:
+                    status = OutcomeStatus.FAILED
+            return answer
+        except CallError as error:
+            status = _STATUS_OF_ERROR.get(type(error), OutcomeStatus.FAILED)
+            raise
+        finally:
+            timer.cancel()
+            if status is not None:
+                attempt.end(status)
+
+    def _stalled(self, attempt: Attempt, may_give_up: Callable[[], bool]) -> None:
+        self._suspect(attempt.pool)
+        if attempt.limit is not None and may_give_up():
+            attempt.limit.reschedule(self._loop.time())
+
+    def _suspect(self, pool: UpstreamPool) -> None:
+        self._metrics.increment("connections.silent")
+        # What is silent on a new connection too is the upstream, not the connection.
+        if pool.proven:
+            self._pools.replace(pool)
+
+    async def _exchange(
+        self, call: Call, request: OutboundRequest, attempt: Attempt
+    ) -> Answer:
+        now = self._clock.monotonic()
+        remaining = call.deadline - now
+        if remaining <= 0:
+            raise DeadlineExpiredInQueueError(call.service.name)
+        limit = remaining if call.idempotent else remaining + NON_IDEMPOTENT_GRACE_S
+        request.headers[headers.TIMEOUT_MS] = str(int(remaining * 1000))
+        pool = attempt.pool
+        address = pool.address
+        # From here on the upstream may have seen the call.
+        call.dispatched = True
+        try:
+            async with asyncio.timeout(limit) as attempt.limit:
+                response = await pool.session.request(
+                    request.method,
+                    _url(address, request.target),
+                    headers=request.headers,
+                    data=request.body.payload(),
+                    allow_redirects=False,
+                )
+                pool.proven = True
+                return await self._read_answer(call, response, attempt)
+        except aiohttp.ClientConnectorError as error:
+            raise UpstreamUnreachableError(f"{address}: {error.strerror}") from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise UpstreamUnreachableError(f"{address}: connect timeout") from error
+        except TimeoutError as error:
+            raise UpstreamTimeoutError(f"{address}: no answer in time") from error
+        except (aiohttp.ClientError, OSError) as error:
+            if request.body.over_limit:
+                raise BodyOverLimitError(call.service.name) from error
+            raise UpstreamDisconnectedError(
+                f"{address}: {type(error).__name__}"
+            ) from error
+
+    async def _read_answer(
+        self, call: Call, response: aiohttp.ClientResponse, attempt: Attempt
+    ) -> Answer:
+        attempt.note_report(self._read_report(response.headers))
+        if _says_not_run(response.status, response.headers, call.service.not_run):
+            await _drain(response)
+            raise UpstreamRefusedError(call.service.name)
+        answer_headers = headers.for_caller(response.headers)
+        length = response.content_length
+        if length is not None and length <= WHOLE_ANSWER_BYTES:
+            body = await response.read()
+            return Answer(
+                None, response.status, answer_headers, body, reason=response.reason
+            )
+        return Answer(
+            response, response.status, answer_headers, None, reason=response.reason
+        )
+
+
+async def _drain(response: aiohttp.ClientResponse) -> None:
+    """Keep the connection of a small refusal, which is cheaper than a new one."""
+    length = response.content_length
+    if length is not None and length <= WHOLE_ANSWER_BYTES:
+        try:
+            await response.read()
+        except aiohttp.ClientError:
+            response.close()
+    else:
+        response.close()
+
+
+def _url(address: str, target: str) -> URL:
+    url = URL(f"http://{address}{target}", encoded=True)
+    # The class drops the question mark of an empty query. There is no public way to
+    # keep it; tests/functional/test_traps.py fails if this one goes.
+    if target.endswith("?"):
+        url._cache["raw_path_qs"] = target
+    return url
+
+
+def _says_not_run(
+    status: int, answer_headers: CIMultiDictProxy[str], mark: NotRunMark
+) -> bool:
+    return status == mark.status and mark.header in answer_headers
--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -1,6 +1,7 @@
 """Keep a pool of connections to each upstream."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 
@@ -17,12 +18,21 @@
 class UpstreamPool:
     """Hold the connections to one upstream address."""
 
-    def __init__(self, address: str, limit: int, limits: LimitSettings) -> None:
+    def __init__(
+        self,
+        address: str,
+        limit: int,
+        limits: LimitSettings,
+        on_unused: Callable[["UpstreamPool"], None],
+    ) -> None:
         self._address = address
         self._limit = limit
         self._limits = limits
+        self._on_unused = on_unused
         self._active = 0
         self._retired = False
+        # Set once a connection of this pool has brought an answer.
+        self.proven = False
         self._session = self._open()
 
     @property
@@ -37,17 +47,21 @@
         """Count a call that uses this pool."""
         self._active += 1
 
-    async def leave(self) -> None:
-        """Count a call out and close a retired pool after its last call."""
+    def leave(self) -> None:
+        """Count a call out; a retired pool closes after its last call."""
         self._active -= 1
         if self._retired and self._active == 0:
-            await self._session.close()
+            self._on_unused(self)
 
-    async def retire(self) -> None:
+    def retire(self) -> None:
         """Take no further calls; close once no call uses the pool."""
         self._retired = True
         if self._active == 0:
-            await self._session.close()
+            self._on_unused(self)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
 
     def _open(self) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
@@ -60,7 +74,6 @@
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=self._limits.connect_timeout_s,
-                sock_read=self._limits.progress_timeout_s,
             ),
             max_line_size=self._limits.max_header_bytes,
             max_field_size=self._limits.max_header_bytes,
@@ -88,7 +101,7 @@
         pool = self._pools.get(address)
         if pool is None:
             share = max(MIN_CONNECTIONS, connections_per_upstream // self._fleet_size)
-            pool = UpstreamPool(address, share, self._limits)
+            pool = UpstreamPool(address, share, self._limits, self._close_later)
             self._pools[address] = pool
         return pool
 
@@ -97,13 +110,16 @@
         if self._pools.get(pool.address) is pool:
             del self._pools[pool.address]
             self._metrics.increment("connections.pool_replaced")
-            task = asyncio.ensure_future(pool.retire())
-            self._closing.add(task)
-            task.add_done_callback(self._closing.discard)
+            pool.retire()
 
     async def close(self) -> None:
         """Close all connections."""
-        await asyncio.gather(*self._closing)
         for pool in self._pools.values():
-            await pool.retire()
+            pool.retire()
         self._pools.clear()
+        await asyncio.gather(*self._closing)
+
+    def _close_later(self, pool: UpstreamPool) -> None:
+        task = asyncio.ensure_future(pool.close())
+        self._closing.add(task)
+        task.add_done_callback(self._closing.discard)
--- a/src/dogwoodshed/_internal/proxy/relay.py
+++ b/src/dogwoodshed/_internal/proxy/relay.py
@@ -1,264 +1,182 @@
-"""Send calls to upstreams and classify how they end."""
-
-import asyncio
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
-
-import aiohttp
-from multidict import CIMultiDict, CIMultiDictProxy
-from yarl import URL
+"""Send a call to upstreams until it is answered or must be given up."""
 
 from dogwoodshed._internal.clock import Clock
-from dogwoodshed._internal.configuration.model import NotRunMark
 from dogwoodshed._internal.exceptions import (
-    BodyOverLimitError,
     CallError,
-    DeadlineExpiredInQueueError,
     NotRunError,
-    UpstreamDisconnectedError,
-    UpstreamRefusedError,
-    UpstreamTimeoutError,
-    UpstreamUnreachableError,
+    OutcomeUnknownError,
 )
 from dogwoodshed._internal.metrics import Metrics
-from dogwoodshed._internal.proxy import headers
-from dogwoodshed._internal.proxy.body import RequestBody
+from dogwoodshed._internal.proxy.answers import Answer, OutboundRequest
+from dogwoodshed._internal.proxy.attempts import NON_IDEMPOTENT_GRACE_S, Sender
 from dogwoodshed._internal.proxy.call import Call
-from dogwoodshed._internal.proxy.connections import UpstreamPool, UpstreamPools
-from dogwoodshed._internal.proxy.load_reports import LoadReportReader
-from dogwoodshed._internal.routing.base import Outcome, OutcomeStatus, Router, Slot
-
-# Answers up to this size are read whole, so that a cut one can still become a 502.
-WHOLE_ANSWER_BYTES = 65_536
-# How long past its deadline a non-idempotent call may go on, so that its answer is
-# known to a caller that asks again with the same key.
-NON_IDEMPOTENT_GRACE_S = 30.0
-
-
-class OutboundRequest(NamedTuple):
-    """What is sent to an upstream, apart from its address."""
-
-    method: str
-    target: str
-    headers: CIMultiDict[str]
-    body: RequestBody
-
-
-class Answer:
-    """An upstream's answer, whole or still streaming."""
-
-    __slots__ = (
-        "_finish",
-        "_on_silent",
-        "body",
-        "headers",
-        "reason",
-        "response",
-        "silent",
-        "status",
-    )
-
-    def __init__(
-        self,
-        response: aiohttp.ClientResponse | None,
-        status: int,
-        answer_headers: CIMultiDict[str],
-        body: bytes | None,
-        *,
-        reason: str | None = None,
-        finish: Callable[[OutcomeStatus], Awaitable[None]] | None = None,
-        on_silent: Callable[[], None] | None = None,
-    ) -> None:
-        self.response = response
-        self.status = status
-        self.headers = answer_headers
-        self.body = body
-        self.reason = reason
-        self.silent = False
-        self._finish = finish
-        self._on_silent = on_silent
+from dogwoodshed._internal.proxy.hedging import HedgeRace
+from dogwoodshed._internal.retries.hedges import HedgePolicy
+from dogwoodshed._internal.retries.policy import REPEATABLE_STATUSES, RetryPolicy
+from dogwoodshed._internal.routing.base import Router, Slot
 
-    def note_silent(self) -> None:
-        """Report that the connection of a streaming answer went silent."""
-        self.silent = True
-        if self._on_silent is not None:
-            self._on_silent()
+__all__ = ["NON_IDEMPOTENT_GRACE_S", "Answer", "OutboundRequest", "Relay"]
 
-    async def finish(self, status: OutcomeStatus) -> None:
-        """Report the end of a streaming answer."""
-        if self._finish is not None:
-            finish, self._finish = self._finish, None
-            await finish(status)
+# A connection is taken for silent no sooner than this and three times the 95th
+# percentile, so that short deadlines and slow kinds do not cost connections.
+MIN_PATIENCE_S = 0.1
+PATIENCE_PER_P95 = 3
+_NONE: frozenset[str] = frozenset()
 
 
-class _Exchange:
-    """One attempt on one slot, released exactly once."""
+class _Course:
+    """What happened to a call so far."""
 
-    __slots__ = ("_clock", "_pool", "_report", "_router", "_slot", "_started")
+    __slots__ = ("kept", "moved", "repeated", "tried")
 
-    def __init__(
-        self, router: Router, slot: Slot, pool: UpstreamPool, clock: Clock
-    ) -> None:
-        self._router = router
-        self._slot = slot
-        self._pool = pool
-        self._clock = clock
-        self._report = None
-        self._started = clock.monotonic()
-        pool.enter()
+    def __init__(self) -> None:
+        self.tried: set[str] = set()
+        self.moved = 0
+        self.repeated = 0
+        # The end of the first attempt that may have run. Nothing later may tell the
+        # caller that the call did not run.
+        self.kept: OutcomeUnknownError | Answer | None = None
 
-    def note_report(self, report) -> None:
-        self._report = report
+    def keep(self, answer: Answer) -> None:
+        """Keep a failure that the upstream answered, and free its slot."""
+        answer.discard()
+        if self.kept is None and answer.body is not None:
+            self.kept = answer
+        elif self.kept is None:
+            self.kept = OutcomeUnknownError(f"upstream answered {answer.status}")
 
-    async def end(self, status: OutcomeStatus) -> None:
-        elapsed = self._clock.monotonic() - self._started
-        self._router.release(self._slot, Outcome(status, elapsed, self._report))
-        await self._pool.leave()
+    def settle(self, error: CallError) -> Answer:
+        """End a call whose last attempt failed."""
+        if isinstance(self.kept, Answer):
+            return self.kept
+        raise self.kept or error
 
 
 class Relay:
-    """Send a call to upstreams until it is answered or must be given up."""
+    """Decide on the attempts of each call."""
 
     def __init__(
         self,
         router: Router,
-        pools: UpstreamPools,
-        read_report: LoadReportReader,
+        sender: Sender,
+        retries: RetryPolicy,
+        hedges: HedgePolicy,
+        progress_timeout: float,
         clock: Clock,
         metrics: Metrics,
     ) -> None:
         self._router = router
-        self._pools = pools
-        self._read_report = read_report
+        self._sender = sender
+        self._retries = retries
+        self._hedges = hedges
+        self._progress_timeout = progress_timeout
         self._clock = clock
         self._metrics = metrics
 
     async def forward(self, call: Call, request: OutboundRequest) -> Answer:
-        """Send a call, moving on while it certainly did not run; raises CallError."""
-        tried: set[str] = set()
+        """Send a call until an attempt decides its outcome; raises CallError."""
+        self._retries.note_call()
+        self._hedges.note_call()
+        course = _Course()
         while True:
-            slot = await self._router.acquire(call, exclude=frozenset(tried))
+            slot = None
             try:
-                return await self.send(call, request, slot)
-            except NotRunError:
-                tried.add(slot.upstream.address)
-                if not request.body.replayable or not self._may_move(call, tried):
-                    raise
-                self._metrics.increment("calls.moved")
-
-    def _may_move(self, call: Call, tried: set[str]) -> bool:
-        return (
-            len(tried) < len(call.service.upstreams)
-            and self._clock.monotonic() < call.deadline
-        )
-
-    async def send(self, call: Call, request: OutboundRequest, slot: Slot) -> Answer:
-        """Make one attempt on a slot; raises CallError."""
-        call.dispatched = True
-        pool = self._pools.pool(
-            slot.upstream.address, call.service.connections_per_upstream
-        )
-        exchange = _Exchange(self._router, slot, pool, self._clock)
-        status = OutcomeStatus.CANCELLED
-        try:
-            answer = await self._exchange(call, request, pool, exchange)
-            if answer.response is not None:
-                # The slot stays in use until the caller has the last byte.
-                answer._finish, status = exchange.end, None
+                slot = await self._router.acquire(
+                    call, exclude=_exclusions(call, course)
+                )
+                answer = await self._attempt(call, request, slot, course)
+            except NotRunError as error:
+                if slot is None or not self._takes_move(call, request, slot, course):
+                    return course.settle(error)
+            except OutcomeUnknownError as error:
+                course.kept = course.kept or error
+                if not self._takes_repeat(call, request, slot, course):
+                    return course.settle(error)
             else:
-                status = OutcomeStatus.ANSWERED
-                if answer.status >= 500:
-                    status = OutcomeStatus.FAILED
-            return answer
-        except UpstreamUnreachableError:
-            status = OutcomeStatus.UNREACHABLE
-            raise
-        except UpstreamRefusedError:
-            status = OutcomeStatus.REFUSED
-            raise
-        except UpstreamTimeoutError:
-            status = OutcomeStatus.TIMED_OUT
-            raise
-        except CallError:
-            status = OutcomeStatus.FAILED
-            raise
-        finally:
-            if status is not None:
-                await exchange.end(status)
-
-    async def _exchange(
+                if answer.status not in REPEATABLE_STATUSES:
+                    return answer
+                if not self._takes_repeat(call, request, slot, course, elsewhere=True):
+                    return answer
+                course.keep(answer)
+
+    def _takes_move(
+        self, call: Call, request: OutboundRequest, slot: Slot, course: _Course
+    ) -> bool:
+        if course.kept is None:
+            call.dispatched = False
+        course.tried.add(slot.upstream.address)
+        now = self._clock.monotonic()
+        if (
+            not request.body.replayable
+            or len(course.tried) >= len(call.service.upstreams)
+            or not self._retries.take_move(call, course.moved, now)
+        ):
+            return False
+        course.moved += 1
+        self._metrics.increment("calls.moved")
+        return True
+
+    def _takes_repeat(
         self,
         call: Call,
         request: OutboundRequest,
-        pool: UpstreamPool,
-        exchange: _Exchange,
-    ) -> Answer:
-        address = pool.address
-        limit = call.deadline
-        if not call.idempotent:
-            limit += NON_IDEMPOTENT_GRACE_S
-        remaining = call.deadline - self._clock.monotonic()
-        if remaining <= 0:
-            raise DeadlineExpiredInQueueError(call.service.name)
-        request.headers[headers.TIMEOUT_MS] = str(int(remaining * 1000))
-        try:
-            async with asyncio.timeout(limit - self._clock.monotonic()):
-                response = await pool.session.request(
-                    request.method,
-                    _url(address, request.target),
-                    headers=request.headers,
-                    data=request.body.payload(),
-                    allow_redirects=False,
-                )
-                return await self._read_answer(call, response, exchange)
-        except aiohttp.ClientConnectorError as error:
-            raise UpstreamUnreachableError(f"{address}: {error.strerror}") from error
-        except aiohttp.ConnectionTimeoutError as error:
-            raise UpstreamUnreachableError(f"{address}: connect timeout") from error
-        except aiohttp.ServerTimeoutError as error:
-            # No byte moved for the progress timeout: the connection has gone silent,
-            # and what stands in the pool may have gone with it.
-            self._metrics.increment("connections.silent")
-            self._pools.replace(pool)
-            raise UpstreamTimeoutError(f"{address}: no progress") from error
-        except TimeoutError as error:
-            raise UpstreamTimeoutError(f"{address}: deadline passed") from error
-        except (aiohttp.ClientError, OSError) as error:
-            if request.body.over_limit:
-                raise BodyOverLimitError(call.service.name) from error
-            raise UpstreamDisconnectedError(
-                f"{address}: {type(error).__name__}"
-            ) from error
-
-    async def _read_answer(
-        self, call: Call, response: aiohttp.ClientResponse, exchange: _Exchange
+        slot: Slot,
+        course: _Course,
+        *,
+        elsewhere: bool = False,
+    ) -> bool:
+        course.tried.add(slot.upstream.address)
+        if not request.body.whole or (
+            elsewhere and len(course.tried) >= len(call.service.upstreams)
+        ):
+            return False
+        now = self._clock.monotonic()
+        if not self._retries.take_repeat(call, course.repeated, now):
+            return False
+        course.repeated += 1
+        self._metrics.increment("calls.repeated")
+        return True
+
+    async def _attempt(
+        self, call: Call, request: OutboundRequest, slot: Slot, course: _Course
     ) -> Answer:
-        exchange.note_report(self._read_report(response.headers))
-        if _says_not_run(response.status, response.headers, call.service.not_run):
-            response.close()
-            raise UpstreamRefusedError(call.service.name)
-        answer_headers = headers.for_caller(response.headers)
-        length = response.content_length
-        if length is not None and length <= WHOLE_ANSWER_BYTES:
-            body = await response.read()
-            return Answer(
-                None, response.status, answer_headers, body, reason=response.reason
+        started = self._clock.monotonic()
+        remaining = call.deadline - started
+        p95 = self._hedges.p95(call)
+        patience = min(self._progress_timeout, remaining / 2)
+        patience = max(patience, MIN_PATIENCE_S, PATIENCE_PER_P95 * (p95 or 0.0))
+
+        def may_give_up() -> bool:
+            return request.body.whole and self._retries.may_repeat(
+                call, course.repeated, self._clock.monotonic()
             )
-        return Answer(
-            response, response.status, answer_headers, None, reason=response.reason
-        )
 
+        delay = self._hedges.delay(call)
+        others = len(call.service.upstreams) - len(course.tried)
+        if delay is None or delay >= remaining or others < 2 or not request.body.whole:
+            answer = await self._sender.send(call, request, slot, patience, may_give_up)
+        else:
+
+            async def hedge() -> Answer:
+                excluded = frozenset({*course.tried, slot.upstream.address})
+                other = await self._router.acquire(call, exclude=excluded)
+                self._metrics.increment("calls.hedged")
+                return await self._sender.send(
+                    call, request, other, remaining, lambda: False
+                )
 
-def _url(address: str, target: str) -> URL:
-    url = URL(f"http://{address}{target}", encoded=True)
-    # The class drops the question mark of an empty query. There is no public way to
-    # keep it; tests/functional/test_traps.py fails if this one goes.
-    if target.endswith("?"):
-        url._cache["raw_path_qs"] = target
-    return url
+            race = HedgeRace(delay, self._hedges.take, hedge)
+            answer = await race.run(
+                self._sender.send(call, request, slot, patience, may_give_up)
+            )
+        if answer.status < 500:
+            self._hedges.observe(call, self._clock.monotonic() - started)
+        return answer
 
 
-def _says_not_run(
-    status: int, answer_headers: CIMultiDictProxy[str], mark: NotRunMark
-) -> bool:
-    return status == mark.status and mark.header in answer_headers
+def _exclusions(call: Call, course: _Course) -> frozenset[str]:
+    tried = course.tried
+    # With every upstream tried, a repeat takes a new connection to one of them.
+    if not tried or len(tried) >= len(call.service.upstreams):
+        return _NONE
+    return frozenset(tried)
--- a/src/dogwoodshed/_internal/proxy/replies.py
+++ b/src/dogwoodshed/_internal/proxy/replies.py
@@ -8,8 +8,8 @@
 from aiohttp import web
 
 from dogwoodshed._internal.exceptions import AnswerCutError, CallError
+from dogwoodshed._internal.proxy.answers import Answer
 from dogwoodshed._internal.proxy.problems import problem_response
-from dogwoodshed._internal.proxy.relay import Answer
 from dogwoodshed._internal.proxy.responses import StreamedResponse, WholeResponse
 from dogwoodshed._internal.routing.base import OutcomeStatus
 
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -18,9 +18,9 @@
 )
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy import headers
+from dogwoodshed._internal.proxy.answers import Answer, OutboundRequest
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.proxy.callers import CallerConnections
-from dogwoodshed._internal.proxy.relay import Answer, OutboundRequest
 from dogwoodshed._internal.proxy.replies import (
     CALLER_STALL_S,
     send_answer,
@@ -241,10 +241,7 @@
         self._detached.discard(task)
         if task.cancelled() or task.exception() is not None:
             return
-        answer = task.result()
-        if answer.response is not None:
-            answer.response.close()
-            self._loop.create_task(answer.finish(OutcomeStatus.CANCELLED))
+        task.result().discard()
 
     def _record_end(
         self, call: Call, started: float, status: int, end: OutcomeStatus
--- /dev/null
+++ b/src/dogwoodshed/_internal/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Decide which calls are sent more than once."""
--- /dev/null
+++ b/src/dogwoodshed/_internal/retries/budget.py
@@ -0,0 +1,29 @@
+"""Bound extra calls to a share of the traffic."""
+
+
+class Budget:
+    """Earn a share of a token with each call and spend a token on each extra one."""
+
+    __slots__ = ("_reserve", "_share", "_tokens")
+
+    def __init__(self, share: float, reserve: float) -> None:
+        self._share = share
+        # Also the start, so that a quiet gateway can repeat its few calls.
+        self._reserve = reserve
+        self._tokens = reserve
+
+    @property
+    def available(self) -> bool:
+        return self._tokens >= 1
+
+    def earn(self) -> None:
+        """Count a call of the traffic."""
+        tokens = self._tokens + self._share
+        self._tokens = tokens if tokens < self._reserve else self._reserve
+
+    def take(self) -> bool:
+        """Spend a token if there is one."""
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
--- /dev/null
+++ b/src/dogwoodshed/_internal/retries/hedges.py
@@ -0,0 +1,82 @@
+"""Decide when a second attempt runs beside a slow first one."""
+
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.retries.budget import Budget
+from dogwoodshed._internal.settings import Settings
+
+HEDGE_SHARE = 0.02
+HEDGE_RESERVE = 5
+_QUANTILE = 0.95
+# Relative size of a step; the estimate then varies by about a twentieth at rest and
+# doubles within 40 slow answers.
+_STEP = 0.02
+_MIN_SAMPLES = 50
+_MIN_DELAY_S = 0.001
+
+
+class RunningQuantile:
+    """Follow the 95th percentile of a stream with one number."""
+
+    __slots__ = ("_estimate", "_samples")
+
+    def __init__(self) -> None:
+        self._estimate = 0.0
+        self._samples = 0
+
+    @property
+    def estimate(self) -> float | None:
+        """The estimate, once enough samples were seen."""
+        return self._estimate if self._samples >= _MIN_SAMPLES else None
+
+    def observe(self, sample: float) -> None:
+        """Move up or down so that steps balance at the percentile."""
+        if self._samples < _MIN_SAMPLES:
+            self._samples += 1
+            if sample > self._estimate:
+                self._estimate = sample
+        elif sample > self._estimate:
+            self._estimate *= 1 + _STEP * _QUANTILE
+        else:
+            self._estimate *= 1 - _STEP * (1 - _QUANTILE)
+
+
+class HedgePolicy:
+    """Hold latencies by kind and the budget for hedges of one gateway."""
+
+    def __init__(self, *, enabled: bool = True) -> None:
+        self._enabled = enabled
+        self._budget = Budget(HEDGE_SHARE, HEDGE_RESERVE)
+        self._latencies: dict[tuple[str, str], RunningQuantile] = {}
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> "HedgePolicy":
+        """Create a policy."""
+        return cls(enabled=settings.enabled("hedges"))
+
+    def note_call(self) -> None:
+        """Count a call of the traffic."""
+        self._budget.earn()
+
+    def observe(self, call: Call, elapsed: float) -> None:
+        """Note how long a successful attempt took."""
+        key = call.service.name, call.kind.name
+        latency = self._latencies.get(key)
+        if latency is None:
+            latency = self._latencies[key] = RunningQuantile()
+        latency.observe(elapsed)
+
+    def p95(self, call: Call) -> float | None:
+        """Return the 95th percentile of the call's kind, once it is known."""
+        latency = self._latencies.get((call.service.name, call.kind.name))
+        return latency.estimate if latency else None
+
+    def delay(self, call: Call) -> float | None:
+        """Return how long to wait before a hedge, or None for no hedge."""
+        if not (self._enabled and call.idempotent):
+            return None
+        p95 = self.p95(call)
+        return None if p95 is None else max(_MIN_DELAY_S, p95)
+
+    def take(self) -> bool:
+        """Allow or refuse one hedge."""
+        return self._budget.take()
--- /dev/null
+++ b/src/dogwoodshed/_internal/retries/policy.py
@@ -0,0 +1,61 @@
+"""Decide whether a call that failed is sent again."""
+
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.retries.budget import Budget
+from dogwoodshed._internal.settings import Settings
+
+REPEAT_SHARE = 0.1
+REPEAT_RESERVE = 10
+# More than one repeat of a call seldom helps and takes budget from other calls.
+MAX_REPEATS = 2
+# The first move of a call is free. Further ones cost a budget, so that a service that
+# refuses everywhere is not asked once per upstream for each call.
+FREE_MOVES = 1
+MOVE_SHARE = 1.0
+MOVE_RESERVE = 100
+# Statuses that another upstream may not give.
+REPEATABLE_STATUSES = frozenset({500, 502, 503, 504})
+
+
+class RetryPolicy:
+    """Bound moves and repeats over all calls of one gateway."""
+
+    def __init__(self, *, enabled: bool = True, bounded: bool = True) -> None:
+        self._enabled = enabled
+        self._bounded = bounded
+        self._repeats = Budget(REPEAT_SHARE, REPEAT_RESERVE)
+        self._moves = Budget(MOVE_SHARE, MOVE_RESERVE)
+
+    @classmethod
+    def from_settings(cls, settings: Settings) -> "RetryPolicy":
+        """Create a policy; the feature `retry_budget` takes the bounds away."""
+        return cls(
+            enabled=settings.enabled("retries"),
+            bounded=settings.enabled("retry_budget"),
+        )
+
+    def note_call(self) -> None:
+        """Count a call of the traffic."""
+        self._repeats.earn()
+        self._moves.earn()
+
+    def take_move(self, call: Call, moved: int, now: float) -> bool:
+        """Allow or refuse to move a call that certainly did not run."""
+        if not self._enabled or now >= call.deadline:
+            return False
+        return moved < FREE_MOVES or not self._bounded or self._moves.take()
+
+    def may_repeat(self, call: Call, repeated: int, now: float) -> bool:
+        """Tell whether a call that may have run could be sent again."""
+        if not (self._enabled and call.idempotent) or now >= call.deadline:
+            return False
+        if repeated >= MAX_REPEATS:
+            return False
+        # Below the top, the repeats of each level would multiply.
+        return not self._bounded or (call.depth == 0 and self._repeats.available)
+
+    def take_repeat(self, call: Call, repeated: int, now: float) -> bool:
+        """Allow or refuse to send a call that may have run again."""
+        if not self.may_repeat(call, repeated, now):
+            return False
+        return self._repeats.take() or not self._bounded
