Keep repeats of a failing fleet within a tenth of its calls

Cause: the scenario of a tree of six services sent 648 calls to every level for 320 calls of the callers, because nested calls, which are never repeated, paid for repeats at the top, and because one service could spend the whole gateway's budget.

Change: only calls at depth 0 earn repeats, and each service has its own budgets for repeats, moves and hedges. Stand-in upstreams can call a URL for each request.

--- a/src/dogwoodshed/_internal/proxy/relay.py
+++ b/src/dogwoodshed/_internal/proxy/relay.py
@@ -75,8 +75,8 @@
 
     async def forward(self, call: Call, request: OutboundRequest) -> Answer:
         """Send a call until an attempt decides its outcome; raises CallError."""
-        self._retries.note_call()
-        self._hedges.note_call()
+        self._retries.note_call(call)
+        self._hedges.note_call(call)
         course = _Course()
         while True:
             slot = None
@@ -165,7 +165,7 @@
                     call, request, other, remaining, lambda: False
                 )
 
-            race = HedgeRace(delay, self._hedges.take, hedge)
+            race = HedgeRace(delay, lambda: self._hedges.take(call), hedge)
             answer = await race.run(
                 self._sender.send(call, request, slot, patience, may_give_up)
             )
--- a/src/dogwoodshed/_internal/retries/budget.py
+++ b/src/dogwoodshed/_internal/retries/budget.py
@@ -27,3 +27,19 @@
             return False
         self._tokens -= 1
         return True
+
+
+class ServiceBudgets:
+    """Hold a budget for each service, so that one cannot spend another's."""
+
+    def __init__(self, share: float, reserve: float) -> None:
+        self._share = share
+        self._reserve = reserve
+        self._budgets: dict[str, Budget] = {}
+
+    def of(self, service: str) -> Budget:
+        """Return the budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = Budget(self._share, self._reserve)
+        return budget
--- a/src/dogwoodshed/_internal/retries/hedges.py
+++ b/src/dogwoodshed/_internal/retries/hedges.py
@@ -1,7 +1,7 @@
 """Decide when a second attempt runs beside a slow first one."""
 
 from dogwoodshed._internal.proxy.call import Call
-from dogwoodshed._internal.retries.budget import Budget
+from dogwoodshed._internal.retries.budget import ServiceBudgets
 from dogwoodshed._internal.settings import Settings
 
 HEDGE_SHARE = 0.02
@@ -45,7 +45,7 @@
 
     def __init__(self, *, enabled: bool = True) -> None:
         self._enabled = enabled
-        self._budget = Budget(HEDGE_SHARE, HEDGE_RESERVE)
+        self._budgets = ServiceBudgets(HEDGE_SHARE, HEDGE_RESERVE)
         self._latencies: dict[tuple[str, str], RunningQuantile] = {}
 
     @classmethod
@@ -53,9 +53,9 @@
         """Create a policy."""
         return cls(enabled=settings.enabled("hedges"))
 
-    def note_call(self) -> None:
+    def note_call(self, call: Call) -> None:
         """Count a call of the traffic."""
-        self._budget.earn()
+        self._budgets.of(call.service.name).earn()
 
     def observe(self, call: Call, elapsed: float) -> None:
         """Note how long a successful attempt took."""
@@ -77,6 +77,6 @@
         p95 = self.p95(call)
         return None if p95 is None else max(_MIN_DELAY_S, p95)
 
-    def take(self) -> bool:
+    def take(self, call: Call) -> bool:
         """Allow or refuse one hedge."""
-        return self._budget.take()
+        return self._budgets.of(call.service.name).take()
--- a/src/dogwoodshed/_internal/retries/policy.py
+++ b/src/dogwoodshed/_internal/retries/policy.py
@@ -1,7 +1,7 @@
 """Decide whether a call that failed is sent again."""
 
 from dogwoodshed._internal.proxy.call import Call
-from dogwoodshed._internal.retries.budget import Budget
+from dogwoodshed._internal.retries.budget import ServiceBudgets
 from dogwoodshed._internal.settings import Settings
 
 REPEAT_SHARE = 0.1
@@ -23,8 +23,8 @@
     def __init__(self, *, enabled: bool = True, bounded: bool = True) -> None:
         self._enabled = enabled
         self._bounded = bounded
-        self._repeats = Budget(REPEAT_SHARE, REPEAT_RESERVE)
-        self._moves = Budget(MOVE_SHARE, MOVE_RESERVE)
+        self._repeats = ServiceBudgets(REPEAT_SHARE, REPEAT_RESERVE)
+        self._moves = ServiceBudgets(MOVE_SHARE, MOVE_RESERVE)
 
     @classmethod
     def from_settings(cls, settings: Settings) -> "RetryPolicy":
@@ -34,16 +34,23 @@
             bounded=settings.enabled("retry_budget"),
         )
 
-    def note_call(self) -> None:
+    def note_call(self, call: Call) -> None:
         """Count a call of the traffic."""
-        self._repeats.earn()
-        self._moves.earn()
+        # Nested calls are not repeated, so they must not pay for repeats either: in a
+        # tree of six levels they would raise the share of the top from 10% to 60%.
+        if call.depth == 0:
+            self._repeats.of(call.service.name).earn()
+        self._moves.of(call.service.name).earn()
 
     def take_move(self, call: Call, moved: int, now: float) -> bool:
         """Allow or refuse to move a call that certainly did not run."""
         if not self._enabled or now >= call.deadline:
             return False
-        return moved < FREE_MOVES or not self._bounded or self._moves.take()
+        return (
+            moved < FREE_MOVES
+            or not self._bounded
+            or self._moves.of(call.service.name).take()
+        )
 
     def may_repeat(self, call: Call, repeated: int, now: float) -> bool:
         """Tell whether a call that may have run could be sent again."""
@@ -51,11 +58,13 @@
             return False
         if repeated >= MAX_REPEATS:
             return False
+        if not self._bounded:
+            return True
         # Below the top, the repeats of each level would multiply.
-        return not self._bounded or (call.depth == 0 and self._repeats.available)
+        return call.depth == 0 and self._repeats.of(call.service.name).available
 
     def take_repeat(self, call: Call, repeated: int, now: float) -> bool:
         """Allow or refuse to send a call that may have run again."""
         if not self.may_repeat(call, repeated, now):
             return False
-        return self._repeats.take() or not self._bounded
+        return self._repeats.of(call.service.name).take() or not self._bounded
--- a/src/dogwoodshed/_internal/standins/upstream.py
+++ b/src/dogwoodshed/_internal/standins/upstream.py
@@ -9,6 +9,8 @@
 
 from aiohttp import web
 
+from dogwoodshed._internal.standins.nested import NestedCalls
+
 REQUEST_ID = "X-Request-Id"
 LOAD_HEADER = "endpoint-load-metrics"
 NOT_RUN_HEADER = "x-not-run"
@@ -40,6 +42,8 @@
     answer_bytes: int
     # Cuts the connection after this share of the answer.
     cut_answer_at: float
+    # Calls this URL for each request and fails if that fails.
+    calls: str
 
 
 class UpstreamStandIn:
@@ -69,6 +73,7 @@
         self._load_history: list[tuple[float, int]] = []
         self._runner: web.AppRunner | None = None
         self._port = 0
+        self._nested = NestedCalls()
 
     @property
     def address(self) -> str:
@@ -101,6 +106,7 @@
         """Close the listening socket and all connections."""
         if self._runner is not None:
             await self._runner.cleanup()
+        await self._nested.close()
 
     def change(self, behaviour: Behaviour) -> None:
         """Change how the upstream behaves from now on."""
@@ -154,6 +160,9 @@
             identity = request.headers.get(REQUEST_ID, "")
             self._runs[identity] += 1
             await asyncio.sleep(self._service_time())
+            url = self._behaviour.get("calls")
+            if url and not await self._nested.succeed(url, request):
+                return web.Response(status=500, headers=self._load_headers())
             await self._hold_if_silent(request)
             self._finished[identity] += 1
         finally:
--- /dev/null
+++ b/tests/lib/world.py
@@ -0,0 +1,121 @@
+"""Hold the fleet, the calls and the results of one scenario."""
+
+import asyncio
+import json
+from collections.abc import Coroutine, Iterable
+from typing import Any
+
+from dogwoodshed._internal.standins.caller import (
+    Callers,
+    CallResult,
+    Flow,
+    Tally,
+    tally,
+)
+from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup
+from dogwoodshed._internal.standins.upstream import Behaviour
+from tests.lib import builders
+
+SETTLE_BOUND_S = 20.0
+
+
+class World:
+    """Run one fleet on an event loop of its own."""
+
+    def __init__(self, features: dict[str, bool]) -> None:
+        self.runner = asyncio.Runner()
+        self.fleet = Fleet()
+        self.features = features
+        self.results: list[CallResult] = []
+        self.flows: list[Flow] = []
+
+    @classmethod
+    def from_context(cls, context) -> "World":
+        """Create a world that ends with its scenario.
+
+        `behave -D without=NAME` switches a mechanism off.
+        """
+        without = context.config.userdata.get("without")
+        world = cls({without: False} if without else {})
+        context.add_cleanup(world.close)
+        return world
+
+    def run(self, work: Coroutine[Any, Any, Any]) -> Any:
+        """Run a coroutine to its end."""
+        return self.runner.run(work)
+
+    def close(self) -> None:
+        """End all processes."""
+        self.run(self.fleet.stop())
+        self.runner.close()
+
+    async def start(
+        self,
+        gateways: int,
+        upstreams: int,
+        behaviour: Behaviour,
+        services: Iterable[str] = ("profiles",),
+        **settings: Any,
+    ) -> None:
+        """Start gateways before services of the same size."""
+        await self.fleet.start_platform()
+        names = list(services)
+        await self.fleet.start_upstreams(
+            [UpstreamGroup(name, upstreams, behaviour, 1) for name in names]
+        )
+        texts = [
+            builders.service_text(
+                name,
+                tuple(self.fleet.upstreams[name]),
+                kinds=self.kinds(name),
+            )
+            for name in names
+        ]
+        await self.fleet.publish(json.dumps(builders.configuration_text(*texts)))
+        await self.fleet.start_gateways(
+            gateways,
+            **{"routing": "least_in_flight", "features": self.features, **settings},
+        )
+
+    def kinds(self, name: str) -> list[dict]:
+        """Return a read and a write with a deadline of 2 seconds."""
+        limit = {"time_limit_ms": 500, "deadline_ms": 2000, "path": f"/{name}"}
+        once = builders.kind_text("write", method="POST", idempotent=False, **limit)
+        return [builders.kind_text(**limit), once]
+
+    def flow(
+        self, name: str, method: str, rate: float, path: str = "/profiles"
+    ) -> Flow:
+        """Add a flow of calls to the next load."""
+        flow = Flow(name, "normal", method, path, rate)
+        self.flows.append(flow)
+        return flow
+
+    async def load(self, seconds: float, seed: int, **options: Any) -> None:
+        """Send all flows and keep the results."""
+        callers = Callers([g.address for g in self.fleet.gateways], **options)
+        await callers.run(self.flows, seconds, seed)
+        self.results += callers.results
+
+    async def runs(self, service: str = "profiles") -> dict[str, int]:
+        """Return how often upstreams ran each request."""
+        runs: dict[str, int] = {}
+        for state in await self.fleet.upstream_states(service):
+            for identity, count in state["runs"].items():
+                runs[identity] = runs.get(identity, 0) + count
+        return runs
+
+    async def count(self, name: str, service: str = "profiles") -> int:
+        """Return the sum of a counter of all upstreams."""
+        states = await self.fleet.upstream_states(service)
+        return sum(state["counts"].get(name, 0) for state in states)
+
+    async def change(self, behaviour: Behaviour, service: str = "profiles") -> None:
+        """Change all upstreams of a service."""
+        for address in self.fleet.upstreams[service]:
+            await self.fleet.control_upstream(address, behaviour)
+
+    def tally(self, runs: dict[str, int]) -> Tally:
+        """Compare the results with the runs; writes may run once."""
+        once = frozenset(flow.name for flow in self.flows if flow.method == "POST")
+        return tally(self.results, runs, once)
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -124,8 +124,9 @@
 
     def learn_latency(self) -> None:
         """Make the hedge delay known and short."""
+        call = self.call()
         for _ in range(100):
-            self.hedges.observe(self.call(), 0.001)
+            self.hedges.observe(call, 0.001)
 
     async def test_hedge_wins_and_the_first_attempt_is_cancelled(self):
         """Guards against a loser that goes on working at its upstream."""
--- a/tests/unit/test_retries.py
+++ b/tests/unit/test_retries.py
@@ -15,11 +15,12 @@
 from tests.lib import builders
 
 CALLS = 1000
+SERVICE = builders.configuration().services[0]
 
 
 def build_call(kind: int = 0, **changes) -> Call:
     """Build a call that arrives at 0 and must end at 1."""
-    service = builders.configuration().services[0]
+    service = SERVICE
     return Call(
         service,
         service.kinds[kind],
@@ -43,17 +44,26 @@
         policy = RetryPolicy()
         repeats = 0
         for _ in range(CALLS):
-            policy.note_call()
+            policy.note_call(build_call())
             repeats += policy.take_repeat(build_call(), 0, 0.0)
         self.assertLessEqual(repeats, CALLS * REPEAT_SHARE + REPEAT_RESERVE)
         self.assertGreater(repeats, CALLS * REPEAT_SHARE / 2)
 
+    def test_nested_calls_pay_for_no_repeats(self):
+        """Guards against a deep tree that buys repeats at its top."""
+        policy = RetryPolicy()
+        for _ in range(REPEAT_RESERVE):
+            self.assertTrue(policy.take_repeat(build_call(), 0, 0.0))
+        for _ in range(CALLS):
+            policy.note_call(build_call(depth=1))
+        self.assertFalse(policy.take_repeat(build_call(), 0, 0.0))
+
     def test_moves_stay_in_budget_when_everything_refuses(self):
         """Guards against asking every upstream for each call that none takes."""
         policy = RetryPolicy()
         moves = 0
         for _ in range(CALLS):
-            policy.note_call()
+            policy.note_call(build_call())
             moved = 0
             while moved < 20 and policy.take_move(build_call(), moved, 0.0):
                 moved += 1
@@ -88,8 +98,8 @@
         policy = HedgePolicy()
         hedges = 0
         for _ in range(CALLS):
-            policy.note_call()
-            hedges += policy.take()
+            policy.note_call(build_call())
+            hedges += policy.take(build_call())
         self.assertLessEqual(hedges, CALLS * 0.02 + 5)
 
     def test_no_hedge_for_a_write_or_without_samples(self):
