--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -21,9 +21,12 @@
 from dogwoodshed._internal.platform import budget
 from dogwoodshed._internal.platform.watcher import PlatformWatcher
 from dogwoodshed._internal.probing.prober import Prober
+from dogwoodshed._internal.proxy.attempts import Sender
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.relay import Relay
 from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer
+from dogwoodshed._internal.retries.hedges import HedgePolicy
+from dogwoodshed._internal.retries.policy import RetryPolicy
 from dogwoodshed._internal.routing.base import Router, RouterContext
 from dogwoodshed._internal.settings import Settings, split_address
 
@@ -132,13 +135,22 @@
         settings = self._settings
         fleet_size = len(settings.mesh.peers) + 1
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
-        self._relay = Relay(
+        sender = Sender(
             self._router,
             self._pools,
             self._read_report,
             self._clock,
             self._metrics,
         )
+        self._relay = Relay(
+            self._router,
+            sender,
+            RetryPolicy.from_settings(settings),
+            HedgePolicy.from_settings(settings),
+            settings.limits.progress_timeout_s,
+            self._clock,
+            self._metrics,
+        )
         forwarder = self._relay
         if settings.enabled("idempotency"):
             forwarder = self._keys.wrap(self._relay)
@@ -171,7 +183,7 @@
         self._state = STATE_LEAVING
         self._keys.leave()
         await self._mesh.announce_leaving()
-        self._server.stop_accepting()
+        await self._server.stop_accepting()
         await self._server.drain(self._settings.stop_timeout_s)
         await self._keys.hand_over()
         await self._pools.close()
