Count finished calls by minute and serve the daily report and administration API

Each gateway closes a minute into a compressed block with sparse histograms, sends it to three peers and keeps its own; any gateway merges the blocks of all by gateway, incarnation and minute, renders text, JSON and HTML, and names every minute that it does not cover. A call that a stopping gateway refuses is now parsed first, so that it is counted for its service.

--- /dev/null
+++ b/src/dogwoodshed/_internal/administration/__init__.py
@@ -0,0 +1,1 @@
+"""Serve the administration API of a gateway."""
--- a/src/dogwoodshed/_internal/configuration/store.py
+++ b/src/dogwoodshed/_internal/configuration/store.py
@@ -35,6 +35,10 @@
     def revision(self) -> int:
         return self._current.revision if self._current else 0
 
+    @property
+    def rejected_revision(self) -> int:
+        return self._rejected_revision
+
     @property
     def rejection(self) -> ConfigurationError | None:
         return self._rejection
--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -41,6 +41,26 @@
     """Raised when an administration API cannot be reached or refuses."""
 
 
+class MissingTokenError(ConfigurationError):
+    """Raised when an administration API beyond loopback has no token."""
+
+    def __init__(self, listen: str) -> None:
+        super().__init__(
+            f"administration.token_file: required, since {listen} is not loopback"
+        )
+
+
+class InvalidTokenFileError(ConfigurationError):
+    """Raised when a token file cannot be read or holds no usable token."""
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"administration.token_file: {path}: {reason}")
+
+
+class UnknownUpstreamError(AdministrationError):
+    """Raised when a drain names an address that no service lists."""
+
+
 class MeshError(DogwoodshedError):
     """Base of failures between gateways."""
 
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -6,15 +6,23 @@
 from mode import Service
 
 from dogwoodshed._internal import plugins, registry
+from dogwoodshed._internal.administration.api import (
+    AdministrationActions,
+    AdministrationApi,
+)
+from dogwoodshed._internal.administration.status import StatusSources
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.exceptions import UnknownUpstreamError
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.mesh.service import HeartbeatState, Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.platform.watcher import PlatformWatcher
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.relay import Relay
-from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer
+from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer, Recorder
+from dogwoodshed._internal.reporting.exchange import SummaryExchange
+from dogwoodshed._internal.reporting.page import Page, build_page
 from dogwoodshed._internal.routing.base import Router, RouterContext
 from dogwoodshed._internal.settings import Settings, split_address
 
@@ -26,11 +34,13 @@
 
 
 class _CountingRecorder:
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, minutes: Recorder) -> None:
         self._metrics = metrics
+        self._minutes = minutes
 
     def record(self, record: CallRecord) -> None:
         """Count one finished call."""
+        self._minutes.record(record)
         self._metrics.increment(f"calls.{record.service}.{record.kind}.{record.ran}")
 
 
@@ -66,6 +76,15 @@
             self._clock,
             self._metrics,
         )
+        self._summaries = SummaryExchange(
+            settings, self._mesh, self._membership, self._clock, self._metrics
+        )
+        self._administration = AdministrationApi(
+            self._status_sources(),
+            AdministrationActions(
+                lambda: self._state == STATE_READY, self._drain, self._report
+            ),
+        )
         self._ready = asyncio.Event()
 
     def _create_router(self) -> Router:
@@ -80,6 +99,40 @@
             )
         )
 
+    def _status_sources(self) -> StatusSources:
+        return StatusSources(
+            self._settings,
+            self._store,
+            self._membership,
+            self._mesh,
+            self._router,
+            self._metrics,
+            lambda: self._state,
+            lambda: self._server.in_flight,
+            lambda: self._watcher.reachable,
+            lambda: {
+                "blocks": len(self._summaries.store),
+                "bytes": self._summaries.store.stored_bytes,
+            },
+        )
+
+    def _drain(self, address: str, draining: bool) -> None:
+        configuration = self._store.current
+        services = configuration.services if configuration else ()
+        if not any(u.address == address for s in services for u in s.upstreams):
+            raise UnknownUpstreamError(f"no service lists the upstream {address}")
+        self._router.set_draining(address, draining)
+
+    async def _report(self) -> Page | None:
+        if self._store.current is None:
+            return None
+        return build_page(
+            await self._summaries.collect(),
+            self._store.current,
+            self._membership.members.listed,
+            self._summaries.minute_s,
+        )
+
     def _heartbeat_state(self) -> HeartbeatState:
         current = self._store.current
         digest = current.digest if current else ""
@@ -111,12 +164,14 @@
         self._server = ProxyServer(
             self._store,
             self._relay,
-            _CountingRecorder(self._metrics),
+            _CountingRecorder(self._metrics, self._summaries.recorder),
             settings.limits,
             self._clock,
             self._metrics,
         )
         await self.add_runtime_dependency(self._mesh)
+        await self.add_runtime_dependency(self._summaries)
+        await self.add_runtime_dependency(self._administration)
         await self.add_runtime_dependency(self._watcher)
 
     async def on_started(self) -> None:
@@ -133,6 +188,7 @@
         await self._mesh.announce_leaving()
         self._server.stop_accepting()
         await self._server.drain(self._settings.stop_timeout_s)
+        await self._summaries.hand_over_open_minute()
         await self._pools.close()
         self._metrics.flush()
         logging.info("gateway %s stopped", self._settings.id)
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -145,15 +145,21 @@
 
 
 class SummaryRequest(NamedTuple):
-    """Ask for all minute summaries from a minute on."""
+    """Ask for minute summaries from a minute on, a part at a time."""
 
     since_minute: int
+    # Key of the last summary of the previous part.
+    after: tuple[Any, ...] = ()
+    # Incarnations whose summaries their own gateways give.
+    exclude: tuple[tuple[str, int], ...] = ()
 
 
 class SummaryReply(NamedTuple):
-    """Give minute summaries."""
+    """Give a part of the minute summaries."""
 
     summaries: tuple[bytes, ...]
+    # Key to ask on from; empty after the last part.
+    next: tuple[Any, ...] = ()
 
 
 class Acknowledged(NamedTuple):
--- a/src/dogwoodshed/_internal/platform/watcher.py
+++ b/src/dogwoodshed/_internal/platform/watcher.py
@@ -42,6 +42,10 @@
         self.first_configuration = asyncio.Event()
         store.subscribe(lambda _: self.first_configuration.set())
 
+    @property
+    def reachable(self) -> bool:
+        return self._reachable
+
     @Service.task
     async def _follow(self) -> None:
         index = 0
--- a/src/dogwoodshed/_internal/proxy/call.py
+++ b/src/dogwoodshed/_internal/proxy/call.py
@@ -12,9 +12,13 @@
         "deadline",
         "depth",
         "dispatched",
+        "dispatched_at",
+        "double_prevented",
+        "hedges",
         "key",
         "kind",
         "rank",
+        "retries",
         "service",
     )
 
@@ -40,6 +44,12 @@
         self.key = key
         # Set before the first byte goes to an upstream.
         self.dispatched = False
+        # For the report: the first dispatch, further attempts, and whether a repeat
+        # was answered from the record of the first call.
+        self.dispatched_at: float | None = None
+        self.retries = 0
+        self.hedges = 0
+        self.double_prevented = False
 
     @property
     def idempotent(self) -> bool:
--- a/src/dogwoodshed/_internal/proxy/relay.py
+++ b/src/dogwoodshed/_internal/proxy/relay.py
@@ -122,6 +122,7 @@
                 if not request.body.replayable or not self._may_move(call, tried):
                     raise
                 self._metrics.increment("calls.moved")
+                call.retries += 1
 
     def _may_move(self, call: Call, tried: set[str]) -> bool:
         return (
@@ -132,6 +133,8 @@
     async def send(self, call: Call, request: OutboundRequest, slot: Slot) -> Answer:
         """Make one attempt on a slot; raises CallError."""
         call.dispatched = True
+        if call.dispatched_at is None:
+            call.dispatched_at = self._clock.monotonic()
         pool = self._pools.pool(
             slot.upstream.address, call.service.connections_per_upstream
         )
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -37,6 +37,12 @@
     ran: str
     elapsed: float
     in_time: bool
+    # Seconds before the first dispatch, and from then to the end.
+    waiting: float = 0.0
+    upstream: float = 0.0
+    retries: int = 0
+    hedges: int = 0
+    double_prevented: bool = False
 
 
 class Recorder(Protocol):
@@ -128,7 +134,8 @@
         started = self._clock.monotonic()
         call: Call | None = None
         try:
-            call, outbound = await self._read(request, started)
+            call = self._parse_call(request, started)
+            outbound = await self._read(request, call)
             response = await self._answer(request, call, outbound)
             self._record(call, started, response.status, "yes")
         except CallError as error:
@@ -144,12 +151,9 @@
             response.force_close()
         return response
 
-    async def _read(
-        self, request: web.BaseRequest, started: float
-    ) -> tuple[Call, OutboundRequest]:
+    async def _read(self, request: web.BaseRequest, call: Call) -> OutboundRequest:
         if not self._accepting:
             raise ShuttingDownError("retry on another host")
-        call = self._parse_call(request, started)
         body = await RequestBody.from_stream(
             request.content,
             replay_bytes=self._limits.replay_body_bytes,
@@ -158,10 +162,7 @@
         outbound_headers = headers.end_to_end(request.headers)
         outbound_headers[headers.DEPTH] = str(call.depth + 1)
         outbound_headers[headers.RANK] = str(call.rank)
-        outbound = OutboundRequest(
-            request.method, request.raw_path, outbound_headers, body
-        )
-        return call, outbound
+        return OutboundRequest(request.method, request.raw_path, outbound_headers, body)
 
     def _parse_call(self, request: web.BaseRequest, started: float) -> Call:
         configuration = self._store.current
@@ -259,6 +260,9 @@
         if call is None:
             return
         elapsed = self._clock.monotonic() - started
+        waiting = elapsed
+        if call.dispatched_at is not None:
+            waiting = call.dispatched_at - started
         in_time = ran == "yes" and status < 500 and elapsed <= call.kind.time_limit
         self._recorder.record(
             CallRecord(
@@ -269,6 +273,11 @@
                 ran,
                 elapsed,
                 in_time,
+                waiting,
+                elapsed - waiting,
+                call.retries,
+                call.hedges,
+                call.double_prevented,
             )
         )
 
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/__init__.py
@@ -0,0 +1,1 @@
+"""Report how callers were served over the day."""
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/coverage.py
@@ -0,0 +1,105 @@
+"""Tell which minutes of which gateways the report does not cover."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from dogwoodshed._internal.reporting.merge import Day, SeenIncarnation
+
+
+class Hole(NamedTuple):
+    """A range of minutes, both ends included, without a summary."""
+
+    first: int
+    last: int
+
+
+class GatewayCoverage(NamedTuple):
+    """How much of one gateway's day is covered."""
+
+    gateway: str
+    calls: int
+    expected: int
+    covered: int
+    holes: tuple[Hole, ...]
+
+
+class Coverage(NamedTuple):
+    """How much of the day is covered."""
+
+    gateways: tuple[GatewayCoverage, ...]
+
+    @property
+    def expected(self) -> int:
+        return sum(gateway.expected for gateway in self.gateways)
+
+    @property
+    def covered(self) -> int:
+        return sum(gateway.covered for gateway in self.gateways)
+
+    @property
+    def share(self) -> float | None:
+        return self.covered / self.expected if self.expected else None
+
+    @property
+    def complete(self) -> bool:
+        return self.covered == self.expected
+
+
+def measure_coverage(day: Day, listed: Iterable[str]) -> Coverage:
+    """Compare the minutes of a day with those in which gateways should have run."""
+    listed = set(listed)
+    first = min((min(seen.minutes) for seen in day.seen), default=day.until)
+    by_gateway: dict[str, list[SeenIncarnation]] = {name: [] for name in listed}
+    for seen in day.seen:
+        by_gateway.setdefault(seen.gateway, []).append(seen)
+    return Coverage(
+        tuple(
+            _gateway_coverage(day, name, incarnations, name in listed, first)
+            for name, incarnations in sorted(by_gateway.items())
+        )
+    )
+
+
+def _gateway_coverage(
+    day: Day,
+    name: str,
+    incarnations: list[SeenIncarnation],
+    listed: bool,
+    first: int,
+) -> GatewayCoverage:
+    covered = set().union(*(seen.minutes for seen in incarnations))
+    # A listed gateway that never reported is a hole as long as the day is.
+    expected = set() if incarnations else set(range(first, day.until))
+    for seen, later in zip(incarnations, [*incarnations[1:], None], strict=True):
+        expected.update(range(min(seen.minutes), _end(day, seen, later, listed)))
+    expected = expected | covered
+    return GatewayCoverage(
+        name,
+        sum(seen.calls for seen in incarnations),
+        len(expected),
+        len(covered),
+        _ranges(expected - covered),
+    )
+
+
+def _end(
+    day: Day, seen: SeenIncarnation, later: SeenIncarnation | None, listed: bool
+) -> int:
+    if seen.stopped_at is not None:
+        return seen.stopped_at + 1
+    if later is not None:
+        return min(later.minutes)
+    if listed:
+        return day.until
+    # A gateway that vanished and is listed no more took its open minute along.
+    return min(day.until, max(seen.minutes) + 2)
+
+
+def _ranges(minutes: set[int]) -> tuple[Hole, ...]:
+    holes: list[Hole] = []
+    for minute in sorted(minutes):
+        if holes and holes[-1].last == minute - 1:
+            holes[-1] = Hole(holes[-1].first, minute)
+        else:
+            holes.append(Hole(minute, minute))
+    return tuple(holes)
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/exchange.py
@@ -0,0 +1,251 @@
+"""Close minutes, hand their summaries to peers and collect them for the report."""
+
+import asyncio
+import hashlib
+from collections.abc import Generator, Iterable
+from typing import Any, NamedTuple
+
+from absl import logging
+from mode import Service
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.exceptions import MeshError, ProtocolError
+from dogwoodshed._internal.membership import Membership
+from dogwoodshed._internal.mesh.messages import (
+    Acknowledged,
+    Summary,
+    SummaryReply,
+    SummaryRequest,
+)
+from dogwoodshed._internal.mesh.service import Mesh
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.reporting.merge import Day, merge_day
+from dogwoodshed._internal.reporting.recorder import ClosedMinute, MinuteRecorder
+from dogwoodshed._internal.reporting.store import DAY_MINUTES, SummaryStore
+from dogwoodshed._internal.reporting.summary import Block, encode_counts
+from dogwoodshed._internal.settings import Settings
+
+# Two of the three may be lost with the gateway itself.
+KEEPERS = 3
+# Minutes that go to the same keepers: those that are later merged into one block.
+KEEPER_TERM = 60
+REQUEST_TIMEOUT_S = 2.0
+# Heartbeats are dropped once 64 KiB wait for a peer, so a part stays below that.
+PART_BYTES = 48 * 1024
+# Summaries of a minute arrive this long after its end at the latest, as a rule.
+SETTLE_S = 2.0
+
+
+class CollectedDay(NamedTuple):
+    """A merged day and the live gateways that did not answer."""
+
+    day: Day
+    silent: tuple[str, ...]
+
+
+class SummaryExchange(Service):
+    """Exchange minute summaries with the other gateways."""
+
+    mundane_level = "debug"
+
+    def __init__(
+        self,
+        settings: Settings,
+        mesh: Mesh,
+        membership: Membership,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        super().__init__()
+        self._settings = settings.reporting
+        self._share = settings.enabled("summary_keepers")
+        self._hand_over = settings.enabled("summary_hand_over")
+        self._mesh = mesh
+        self._membership = membership
+        self._clock = clock
+        self._metrics = metrics
+        self._recorder = MinuteRecorder(self._settings.minute_s, clock)
+        self._store = SummaryStore(self._settings.store_bytes, metrics)
+        self._cached: CollectedDay | None = None
+        self._collecting = asyncio.Lock()
+        self._publishing: set[asyncio.Task[None]] = set()
+        mesh.subscribe(Summary, self._keep)
+        mesh.subscribe(SummaryRequest, self._give)
+
+    @property
+    def recorder(self) -> MinuteRecorder:
+        return self._recorder
+
+    @property
+    def minute_s(self) -> float:
+        return self._settings.minute_s
+
+    @property
+    def store(self) -> SummaryStore:
+        return self._store
+
+    @Service.task
+    async def _close_minutes(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._recorder.until_next_minute)
+            closed = self._recorder.close_minute()
+            if closed is not None:
+                task = asyncio.ensure_future(self._publish(closed, final=False))
+                self._publishing.add(task)
+                task.add_done_callback(self._publishing.discard)
+
+    async def hand_over_open_minute(self) -> None:
+        """Close the open minute and have peers acknowledge it, on a planned stop."""
+        if not self._hand_over:
+            return
+        # The minute before may still be on its way.
+        await asyncio.gather(*self._publishing, return_exceptions=True)
+        await self._publish(self._recorder.close_now(), final=True)
+
+    async def on_stop(self) -> None:
+        """Give up what is still on its way."""
+        for task in self._publishing:
+            task.cancel()
+
+    async def collect(self) -> CollectedDay:
+        """Merge the summaries of all gateways, once for each closed minute."""
+        async with self._collecting:
+            settle = min(SETTLE_S, self._settings.minute_s / 2)
+            until = int((self._clock.wall() - settle) // self._settings.minute_s)
+            if self._cached is None or self._cached.day.until != until:
+                collected = await self._collect(until)
+                # An incomplete day is asked for anew at the next request.
+                self._cached = None if collected.silent else collected
+                return collected
+            return self._cached
+
+    async def _collect(self, until: int) -> CollectedDay:
+        since = until - DAY_MINUTES
+        views = self._membership.views
+        live = {peer: view.incarnation for peer, view in views.items()}
+        blocks, silent = await self._ask_all(since, tuple(live), live)
+        if silent:
+            # The summaries of those that do not answer are with their keepers.
+            others = tuple(peer for peer in live if peer not in silent)
+            answering = {peer: live[peer] for peer in others}
+            blocks += (await self._ask_all(since, others, answering))[0]
+        day = await _run(merge_day([*blocks, *self._store], since, until))
+        return CollectedDay(day, silent)
+
+    async def _ask_all(
+        self, since: int, peers: tuple[str, ...], live: dict[str, int]
+    ) -> tuple[list[Block], tuple[str, ...]]:
+        exclude = ((self._mesh.id, self._mesh.incarnation), *live.items())
+        answers = await asyncio.gather(
+            *(self._ask(peer, since, exclude) for peer in peers),
+            return_exceptions=True,
+        )
+        blocks: list[Block] = []
+        silent = []
+        for peer, answer in zip(peers, answers, strict=True):
+            if isinstance(answer, MeshError):
+                silent.append(peer)
+            elif isinstance(answer, BaseException):
+                raise answer
+            else:
+                blocks += answer
+        return blocks, tuple(silent)
+
+    async def _ask(
+        self, peer: str, since: int, exclude: tuple[tuple[str, int], ...]
+    ) -> list[Block]:
+        blocks: list[Block] = []
+        after: tuple[Any, ...] = ()
+        while True:
+            reply = await self._mesh.request(
+                peer, SummaryRequest(since, after, exclude), REQUEST_TIMEOUT_S
+            )
+            blocks += (Block.from_bytes(data) for data in reply.summaries)
+            if not reply.next:
+                return blocks
+            after = reply.next
+
+    async def _publish(self, closed: ClosedMinute, *, final: bool) -> None:
+        body = await _run(encode_counts(closed.counts))
+        block = Block(
+            self._mesh.id, self._mesh.incarnation, closed.minute, 1, 1, final, body
+        )
+        self._store.add(block)
+        self._metrics.increment("report.minutes_closed")
+        if self._share:
+            await self._send_to_keepers(block)
+        self._store.expire(closed.minute)
+        await _run(self._store.compact())
+
+    async def _send_to_keepers(self, block: Block) -> None:
+        candidates = list(
+            keepers_in_order(
+                block, set(self._membership.members.live) - {self._mesh.id}
+            )
+        )
+        message = Summary((block.encode(),))
+        acknowledged = 0
+        while candidates and acknowledged < KEEPERS:
+            missing = KEEPERS - acknowledged
+            chosen, candidates = candidates[:missing], candidates[missing:]
+            answers = await asyncio.gather(
+                *(
+                    self._mesh.request(peer, message, REQUEST_TIMEOUT_S)
+                    for peer in chosen
+                ),
+                return_exceptions=True,
+            )
+            acknowledged += sum(isinstance(a, Acknowledged) for a in answers)
+        if acknowledged:
+            self._metrics.increment("report.minutes_acknowledged")
+        if acknowledged < KEEPERS:
+            self._metrics.increment("report.minutes_with_few_keepers")
+
+    def _keep(self, peer_id: str, message: Summary) -> Acknowledged | None:
+        try:
+            for data in message.summaries:
+                self._store.add(Block.from_bytes(data))
+        except ProtocolError as error:
+            self._metrics.increment("report.malformed_summaries")
+            logging.warning("summary from gateway %s: %s", peer_id, error)
+            return None
+        return Acknowledged()
+
+    def _give(self, peer_id: str, message: SummaryRequest) -> SummaryReply:
+        excluded = {tuple(item) for item in message.exclude}
+        summaries: list[bytes] = []
+        size = 0
+        last: tuple[Any, ...] = ()
+        for block in self._store.blocks_after(tuple(message.after)):
+            own = block.gateway == self._mesh.id
+            excluded_here = not own and block[:2] in excluded
+            if excluded_here or block.start < message.since_minute:
+                continue
+            data = block.encode()
+            if summaries and size + len(data) > PART_BYTES:
+                return SummaryReply(tuple(summaries), last)
+            summaries.append(data)
+            size += len(data)
+            last = block.key
+        return SummaryReply(tuple(summaries))
+
+
+def keepers_in_order(block: Block, peers: Iterable[str]) -> Iterable[str]:
+    """Return peers by falling rendezvous score for a gateway and its hour."""
+    # To be replaced by `_internal.rendezvous` once that is merged.
+    term = f"{block.gateway}/{block.start // KEEPER_TERM}"
+
+    def score(peer: str) -> bytes:
+        return hashlib.blake2b(f"{term}/{peer}".encode(), digest_size=8).digest()
+
+    return sorted(peers, key=score, reverse=True)
+
+
+async def _run(steps: Generator[None, None, Any]) -> Any:
+    """Run a stepwise computation with other tasks between its steps."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
+        await asyncio.sleep(0)
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/page.py
@@ -0,0 +1,215 @@
+"""Build the daily report from the merged counts."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from dogwoodshed._internal.configuration.model import Configuration
+from dogwoodshed._internal.reporting.causes import Cause, find_cause
+from dogwoodshed._internal.reporting.coverage import Coverage, measure_coverage
+from dogwoodshed._internal.reporting.exchange import CollectedDay
+from dogwoodshed._internal.reporting.merge import LONG_WINDOW, SHORT_WINDOW, Day, Sums
+from dogwoodshed._internal.reporting.summary import Tally, TallyKey
+
+RowKey = tuple[str, int]
+
+
+class Burn(NamedTuple):
+    """Calls, those that missed, and those that the objective allows to miss."""
+
+    calls: float
+    missed: float
+    allowed: float
+
+    @property
+    def rate(self) -> float | None:
+        """How fast the error budget is used; 1 uses it up exactly."""
+        return self.missed / self.allowed if self.allowed else None
+
+
+class Period(NamedTuple):
+    """A range of minutes; the second end is excluded."""
+
+    first: int
+    until: int
+
+
+class Row(NamedTuple):
+    """One service in one rank over the day."""
+
+    service: str
+    rank: int
+    rank_name: str
+    objective: float
+    tally: Tally
+    p50_ms: float
+    p99_ms: float
+    day: Burn
+    hour: Burn
+    five_minutes: Burn
+    # Burn by bin of the day; bins without calls are missing.
+    bins: dict[int, Burn]
+    # Where the budget burned fastest, if the day's objective was missed.
+    worst: Period | None
+    cause: Cause | None
+
+    @property
+    def in_time_share(self) -> float | None:
+        return self.tally.in_time / self.tally.calls if self.tally.calls else None
+
+    @property
+    def met(self) -> bool:
+        return self.day.missed <= self.day.allowed
+
+    @property
+    def budget_left(self) -> float | None:
+        return 1 - self.day.rate if self.day.rate is not None else None
+
+
+class ProbeRow(NamedTuple):
+    """Probes of one service against its budget."""
+
+    service: str
+    sent: int
+    budget: float
+
+
+class Page(NamedTuple):
+    """Everything that the report shows."""
+
+    fleet: str
+    revision: int
+    minute_s: float
+    since: int
+    until: int
+    first: int
+    bin_minutes: int
+    rows: tuple[Row, ...]
+    probes: tuple[ProbeRow, ...]
+    coverage: Coverage
+    silent: tuple[str, ...]
+    # Kinds that were called but are no longer configured.
+    unconfigured: tuple[TallyKey, ...]
+
+    @property
+    def calls(self) -> int:
+        return sum(row.tally.calls for row in self.rows)
+
+    @property
+    def missed_rows(self) -> tuple[Row, ...]:
+        missed = (row for row in self.rows if not row.met)
+        return tuple(sorted(missed, key=lambda row: (row.rank, -row.day.missed)))
+
+
+def build_page(
+    collected: CollectedDay,
+    configuration: Configuration,
+    listed: Iterable[str],
+    minute_s: float,
+) -> Page:
+    """Build the report; objectives are those of the configuration in effect."""
+    day = collected.day
+    allowances = {
+        (service.name, kind.name): 1 - kind.objective
+        for service in configuration.services
+        for kind in service.kinds
+    }
+    keys: dict[RowKey, list[TallyKey]] = {}
+    unconfigured = []
+    for key in sorted(day.counts.tallies):
+        if key[:2] in allowances:
+            keys.setdefault((key[0], key[2]), []).append(key)
+        else:
+            unconfigured.append(key)
+    coverage = measure_coverage(day, listed)
+    return Page(
+        configuration.fleet,
+        configuration.revision,
+        minute_s,
+        day.since,
+        day.until,
+        min((min(seen.minutes) for seen in day.seen), default=day.until),
+        day.bin_minutes,
+        tuple(
+            _build_row(day, configuration, allowances, row_key, tally_keys)
+            for row_key, tally_keys in sorted(keys.items())
+        ),
+        tuple(_probe_rows(day, configuration, minute_s)),
+        coverage,
+        collected.silent,
+        tuple(unconfigured),
+    )
+
+
+def _build_row(
+    day: Day,
+    configuration: Configuration,
+    allowances: dict[tuple[str, str], float],
+    row_key: RowKey,
+    keys: list[TallyKey],
+) -> Row:
+    service, rank = row_key
+    total = Tally()
+    for key in keys:
+        total.add(day.counts.tallies[key])
+
+    def burn(counts: dict[TallyKey, Tally] | dict[TallyKey, Sums]) -> Burn:
+        present = [key for key in keys if key in counts]
+        return Burn(
+            sum(counts[key].calls for key in present),
+            sum(counts[key].missed for key in present),
+            sum(counts[key].calls * allowances[key[:2]] for key in present),
+        )
+
+    bins = {start: burn(counts) for start, counts in sorted(day.bins.items())}
+    bins = {start: value for start, value in bins.items() if value.calls}
+    whole = burn(day.counts.tallies)
+    worst = cause = None
+    if whole.missed > whole.allowed:
+        worst = worst_period(bins, day.bin_minutes)
+        cause = find_cause(day, configuration, service, rank, worst)
+    names = [rank.name for rank in configuration.ranks]
+    return Row(
+        service,
+        rank,
+        names[rank] if rank < len(names) else f"rank {rank}",
+        1 - whole.allowed / whole.calls,
+        total,
+        *total.percentiles_ms(50, 99),
+        whole,
+        burn(day.windows[LONG_WINDOW]),
+        burn(day.windows[SHORT_WINDOW]),
+        bins,
+        worst,
+        cause,
+    )
+
+
+def worst_period(bins: dict[int, Burn], bin_minutes: int) -> Period:
+    """Return the run of bins above the budget with most missed calls."""
+    # Shares of coarse blocks are rounded, so that no single bin need be above.
+    best, best_missed = Period(min(bins), max(bins) + bin_minutes), -1.0
+    first = until = None
+    missed = 0.0
+    for start, burn in sorted(bins.items()):
+        if burn.missed <= burn.allowed:
+            continue
+        if start != until:
+            first, missed = start, 0.0
+        until = start + bin_minutes
+        missed += burn.missed
+        if missed > best_missed:
+            best, best_missed = Period(first, until), missed
+    return best
+
+
+def _probe_rows(
+    day: Day, configuration: Configuration, minute_s: float
+) -> Iterable[ProbeRow]:
+    minutes = set().union(*(seen.minutes for seen in day.seen))
+    for service in configuration.services:
+        per_second = service.probe_budget_per_s * len(service.upstreams)
+        yield ProbeRow(
+            service.name,
+            day.counts.probes[service.name],
+            per_second * len(minutes) * minute_s,
+        )
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/recorder.py
@@ -0,0 +1,61 @@
+"""Count finished calls into the open minute."""
+
+from typing import NamedTuple
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.proxy.server import CallRecord
+from dogwoodshed._internal.reporting.summary import Counts, Tally
+
+
+class ClosedMinute(NamedTuple):
+    """The counts of a minute that takes no more calls."""
+
+    minute: int
+    counts: Counts
+
+
+class MinuteRecorder:
+    """Keep the counts of the open minute."""
+
+    def __init__(self, minute_s: float, clock: Clock) -> None:
+        self._minute_s = minute_s
+        self._clock = clock
+        self._minute = self.current_minute
+        self._counts = Counts.empty()
+        self._tallies = self._counts.tallies
+
+    @property
+    def current_minute(self) -> int:
+        return int(self._clock.wall() // self._minute_s)
+
+    @property
+    def until_next_minute(self) -> float:
+        return self._minute_s - self._clock.wall() % self._minute_s
+
+    def record(self, record: CallRecord) -> None:
+        """Count one finished call."""
+        key = (record.service, record.kind, record.rank)
+        tally = self._tallies.get(key)
+        if tally is None:
+            tally = self._tallies[key] = Tally()
+        tally.add_call(record)
+
+    def count_probe(self, service: str) -> None:
+        """Count one probe sent to an upstream of a service."""
+        self._counts.probes[service] += 1
+
+    def close_minute(self) -> ClosedMinute | None:
+        """Close the open minute if it is over."""
+        # A wall clock that was set back leaves the minute open, so that no number is
+        # used twice by one incarnation.
+        if self.current_minute <= self._minute:
+            return None
+        return self.close_now()
+
+    def close_now(self) -> ClosedMinute:
+        """Close the open minute before its end, on a planned stop."""
+        closed = ClosedMinute(self._minute, self._counts)
+        self._minute = max(self.current_minute, self._minute + 1)
+        self._counts = Counts.empty()
+        self._tallies = self._counts.tallies
+        return closed
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/store.py
@@ -0,0 +1,166 @@
+"""Keep the minute summaries of the day within a bound of bytes."""
+
+import bisect
+from collections.abc import Generator, Iterable, Iterator
+
+from dogwoodshed._internal.exceptions import ProtocolError
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.reporting.summary import (
+    Block,
+    Counts,
+    add_counts,
+    decode_counts,
+    encode_counts,
+)
+
+DAY_MINUTES = 1440
+# Minutes in a block once older summaries are merged.
+COARSE_SPANS = (10, 60)
+# What a block takes beyond its body: the tuple, its integers and the index entry.
+BLOCK_OVERHEAD_BYTES = 600
+
+BlockKey = tuple[str, int, int, int, int]
+
+
+class SummaryStore:
+    """Hold blocks of this gateway and of the peers that chose it as a keeper."""
+
+    def __init__(self, max_bytes: int, metrics: Metrics) -> None:
+        self._max_bytes = max_bytes
+        self._metrics = metrics
+        self._blocks: dict[BlockKey, Block] = {}
+        self._bytes = 0
+        self._newest = 0
+        self._sorted: list[Block] | None = None
+
+    @property
+    def stored_bytes(self) -> int:
+        return self._bytes
+
+    @property
+    def over_limit(self) -> bool:
+        return self._bytes > self._max_bytes
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def __iter__(self) -> Iterator[Block]:
+        return iter(self.blocks_after(()))
+
+    def blocks_after(self, key: tuple) -> list[Block]:
+        """Return the blocks whose key is higher, in order."""
+        if self._sorted is None:
+            self._sorted = sorted(self._blocks.values(), key=_key)
+        return self._sorted[bisect.bisect_right(self._sorted, key, key=_key) :]
+
+    def add(self, block: Block) -> bool:
+        """Keep a block unless what it covers is already here."""
+        if any(_includes(other, block) for other in self._of_incarnation(block)):
+            self._metrics.increment("report.duplicate_summaries")
+            return False
+        self._blocks[block.key] = block
+        self._bytes += _size(block)
+        self._sorted = None
+        self._newest = max(self._newest, block.start + block.span - 1)
+        return True
+
+    def expire(self, now_minute: int) -> None:
+        """Drop blocks that ended more than a day ago."""
+        for block in list(self._blocks.values()):
+            if block.start + block.span <= now_minute - DAY_MINUTES:
+                self._remove(block)
+
+    def compact(self) -> Generator[None, None, None]:
+        """Merge the oldest blocks, in steps, until all fit the bound."""
+        while self.over_limit:
+            group = self._oldest_group()
+            if group is None:
+                self._drop_oldest()
+                continue
+            span, blocks = group
+            merged = yield from _merge(blocks, span)
+            # Others may have been removed while the steps ran.
+            if all(block.key in self._blocks for block in blocks):
+                for block in blocks:
+                    self._remove(block)
+                if merged.minutes:
+                    self.add(merged)
+                self._metrics.increment("report.blocks_merged", len(blocks))
+
+    def _of_incarnation(self, block: Block) -> list[Block]:
+        return [
+            other
+            for other in self._blocks.values()
+            if other.gateway == block.gateway and other.incarnation == block.incarnation
+        ]
+
+    def _oldest_group(self) -> tuple[int, list[Block]] | None:
+        for span in COARSE_SPANS:
+            groups: dict[tuple[int, str, int], list[Block]] = {}
+            for block in self._blocks.values():
+                start = block.start // span * span
+                if block.span < span and start + span < self._newest:
+                    key = (start, block.gateway, block.incarnation)
+                    groups.setdefault(key, []).append(block)
+            for key in sorted(groups):
+                disjoint = _disjoint(groups[key])
+                if len(disjoint) > 1:
+                    return span, disjoint
+        return None
+
+    def _drop_oldest(self) -> None:
+        oldest = min(self._blocks.values(), key=lambda block: block.start)
+        self._remove(oldest)
+        self._metrics.increment("report.minutes_dropped", len(oldest.covered))
+
+    def _remove(self, block: Block) -> None:
+        if self._blocks.pop(block.key, None) is not None:
+            self._bytes -= _size(block)
+            self._sorted = None
+
+
+def _key(block: Block) -> BlockKey:
+    return block.key
+
+
+def _size(block: Block) -> int:
+    return len(block.body) + BLOCK_OVERHEAD_BYTES
+
+
+def _includes(first: Block, second: Block) -> bool:
+    if (
+        first.start + first.span <= second.start
+        or second.start + second.span <= first.start
+    ):
+        return False
+    base = min(first.start, second.start)
+    mask = second.minutes << second.start - base
+    return mask & first.minutes << first.start - base == mask
+
+
+def _disjoint(blocks: Iterable[Block]) -> list[Block]:
+    chosen, taken = [], 0
+    for block in sorted(blocks):
+        base = block.start // COARSE_SPANS[-1] * COARSE_SPANS[-1]
+        mask = block.minutes << block.start - base
+        if not taken & mask:
+            taken |= mask
+            chosen.append(block)
+    return chosen
+
+
+def _merge(blocks: list[Block], span: int) -> Generator[None, None, Block]:
+    counts = Counts.empty()
+    start = blocks[0].start // span * span
+    minutes = 0
+    for block in blocks:
+        try:
+            decoded = yield from decode_counts(block.body)
+        except ProtocolError:
+            # An unreadable body covers nothing; its minutes show as a hole.
+            continue
+        yield from add_counts(counts, decoded)
+        minutes |= block.minutes << block.start - start
+    body = yield from encode_counts(counts)
+    final = any(block.final for block in blocks)
+    return Block(*blocks[0][:2], start, span, minutes, final, body)
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/summary.py
@@ -0,0 +1,248 @@
+"""Count finished calls by minute and code the counts compactly."""
+
+import zlib
+from collections import Counter
+from collections.abc import Generator, Iterable, Mapping
+from typing import NamedTuple
+
+import msgpack
+from hdrh.histogram import HdrHistogram
+
+from dogwoodshed._internal.exceptions import ProtocolError
+from dogwoodshed._internal.proxy.server import CallRecord
+
+# Latencies are kept in tenths of a millisecond, up to 1,000 seconds.
+UNITS_PER_S = 10_000
+MAX_UNITS = 10_000_000
+SIGNIFICANT_DIGITS = 2
+# Bits of a histogram's bucket for two significant digits: 256 values in each.
+SUB_BUCKET_BITS = 8
+# Entries handled between two returns to the event loop; 32 take less than 0.3 ms.
+STEP_ENTRIES = 32
+# The span of the coarsest block; its minutes fit the 64 bits of a msgpack integer.
+MAX_SPAN = 60
+
+TallyKey = tuple[str, str, int]
+
+
+class Tally:
+    """The counts of one kind of call in one rank.
+
+    The histogram is sparse: most of the 2,300 buckets of a dense one stay empty in a
+    minute, and 840 dense ones would take 15 MB.
+    """
+
+    __slots__ = (
+        "calls",
+        "doubles_prevented",
+        "hedges",
+        "histogram",
+        "in_time",
+        "not_run",
+        "retries",
+        "unknown",
+        "upstream_ms",
+        "waiting_ms",
+    )
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.in_time = 0
+        self.not_run = 0
+        self.unknown = 0
+        self.doubles_prevented = 0
+        self.retries = 0
+        self.hedges = 0
+        self.waiting_ms = 0.0
+        self.upstream_ms = 0.0
+        self.histogram: dict[int, int] = {}
+
+    @property
+    def missed(self) -> int:
+        return self.calls - self.in_time
+
+    def add_call(self, record: CallRecord) -> None:
+        """Count one finished call."""
+        self.calls += 1
+        if record.in_time:
+            self.in_time += 1
+        if record.ran == "no":
+            self.not_run += 1
+        elif record.ran == "unknown":
+            self.unknown += 1
+        self.doubles_prevented += record.double_prevented
+        self.retries += record.retries
+        self.hedges += record.hedges
+        self.waiting_ms += record.waiting * 1000
+        self.upstream_ms += record.upstream * 1000
+        value = min(MAX_UNITS, int(record.elapsed * UNITS_PER_S))
+        shift = value.bit_length() - SUB_BUCKET_BITS
+        if shift > 0:
+            value = value >> shift << shift
+        histogram = self.histogram
+        histogram[value] = histogram.get(value, 0) + 1
+
+    def add(self, other: "Tally") -> None:
+        """Add the counts of another tally."""
+        for name in _COUNTS:
+            setattr(self, name, getattr(self, name) + getattr(other, name))
+        histogram = self.histogram
+        for value, count in other.histogram.items():
+            histogram[value] = histogram.get(value, 0) + count
+
+    def percentiles_ms(self, *percentiles: float) -> tuple[float, ...]:
+        """Return latencies at percentiles in milliseconds."""
+        if not self.histogram:
+            return (0.0,) * len(percentiles)
+        merged = HdrHistogram(1, MAX_UNITS, SIGNIFICANT_DIGITS)
+        for value, count in self.histogram.items():
+            merged.record_value(value, count)
+        found = merged.get_percentile_to_value_dict(percentiles)
+        return tuple(found[percentile] / UNITS_PER_S * 1000 for percentile in found)
+
+
+_COUNTS = (
+    "calls",
+    "in_time",
+    "not_run",
+    "unknown",
+    "doubles_prevented",
+    "retries",
+    "hedges",
+    "waiting_ms",
+    "upstream_ms",
+)
+
+
+class Counts(NamedTuple):
+    """What a gateway counted over some minutes."""
+
+    tallies: dict[TallyKey, Tally]
+    probes: Counter[str]
+
+    @classmethod
+    def empty(cls) -> "Counts":
+        """Create counts of nothing."""
+        return cls({}, Counter())
+
+    def tally(self, key: TallyKey) -> Tally:
+        """Return the tally of a key, a new one if it is missing."""
+        tally = self.tallies.get(key)
+        if tally is None:
+            tally = self.tallies[key] = Tally()
+        return tally
+
+
+class Block(NamedTuple):
+    """The encoded counts of one incarnation of a gateway over one or more minutes."""
+
+    gateway: str
+    incarnation: int
+    # First minute that the block may cover, and how many.
+    start: int
+    span: int
+    # Bit i is set if minute `start + i` is covered.
+    minutes: int
+    # The gateway stopped as planned after this block.
+    final: bool
+    body: bytes
+
+    @property
+    def key(self) -> tuple[str, int, int, int, int]:
+        return self.gateway, self.incarnation, self.start, self.span, self.minutes
+
+    @property
+    def covered(self) -> tuple[int, ...]:
+        return tuple(
+            self.start + index
+            for index in range(self.span)
+            if self.minutes >> index & 1
+        )
+
+    def encode(self) -> bytes:
+        """Return the bytes that travel between gateways."""
+        return msgpack.packb(tuple(self))
+
+    @classmethod
+    def from_bytes(cls, data: bytes) -> "Block":
+        """Decode a block without its body; raises ProtocolError."""
+        try:
+            block = cls(*msgpack.unpackb(data, use_list=False)[: len(cls._fields)])
+            sound = 0 < block.span <= MAX_SPAN and 0 < block.minutes < 1 << block.span
+        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            raise ProtocolError(f"malformed summary: {error}") from error
+        if not sound:
+            raise ProtocolError("malformed summary: minutes out of range")
+        return block
+
+
+def run_steps(steps: Generator[None, None, object]) -> object:
+    """Run a stepwise computation at once and return its result."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as stop:
+            return stop.value
+
+
+def encode_counts(counts: Counts) -> Generator[None, None, bytes]:
+    """Encode counts in steps, between which the caller may yield to other tasks."""
+    packer = msgpack.Packer(autoreset=False)
+    packer.pack(dict(counts.probes))
+    packer.pack_array_header(len(counts.tallies))
+    for number, (key, tally) in enumerate(sorted(counts.tallies.items()), 1):
+        packer.pack((*key, _deltas(tally.histogram), *_counts_of(tally)))
+        if number % STEP_ENTRIES == 0:
+            yield
+    return zlib.compress(packer.bytes(), 6)
+
+
+def decode_counts(body: bytes) -> Generator[None, None, Counts]:
+    """Decode counts in steps; raises ProtocolError."""
+    counts = Counts.empty()
+    try:
+        unpacker = msgpack.Unpacker(use_list=False)
+        unpacker.feed(zlib.decompress(body))
+        counts.probes.update(unpacker.unpack())
+        for number in range(1, unpacker.read_array_header() + 1):
+            service, kind, rank, deltas, *values = unpacker.unpack()
+            counts.tallies[service, kind, rank] = _revive_tally(values, deltas)
+            if number % STEP_ENTRIES == 0:
+                yield
+    except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as error:
+        raise ProtocolError(f"malformed summary body: {error}") from error
+    return counts
+
+
+def add_counts(total: Counts, counts: Counts) -> Generator[None, None, None]:
+    """Add counts to a total in steps."""
+    total.probes.update(counts.probes)
+    for number, (key, tally) in enumerate(counts.tallies.items(), 1):
+        total.tally(key).add(tally)
+        if number % STEP_ENTRIES == 0:
+            yield
+
+
+def _counts_of(tally: Tally) -> Iterable[int]:
+    return (round(getattr(tally, name)) for name in _COUNTS)
+
+
+def _deltas(histogram: Mapping[int, int]) -> list[int]:
+    """Return differences between values, each followed by its count."""
+    flat, previous = [], 0
+    for value, count in sorted(histogram.items()):
+        flat += (value - previous, count)
+        previous = value
+    return flat
+
+
+def _revive_tally(values: list[int], deltas: tuple[int, ...]) -> Tally:
+    tally = Tally()
+    # A later release may append values; an earlier one has fewer.
+    for name, value in zip(_COUNTS, values, strict=False):
+        setattr(tally, name, value)
+    latency = 0
+    for difference, count in zip(deltas[::2], deltas[1::2], strict=True):
+        latency += difference
+        tally.histogram[latency] = count
+    return tally
--- /dev/null
+++ b/src/dogwoodshed/_internal/reporting/words.py
@@ -0,0 +1,139 @@
+"""Put the results of a day into words."""
+
+from datetime import UTC, datetime
+from functools import singledispatch
+
+from dogwoodshed._internal.reporting.causes import Cause, CauseKind
+from dogwoodshed._internal.reporting.coverage import Hole
+from dogwoodshed._internal.reporting.page import Page, Period, Row
+
+
+def clock_time(minute: int, minute_s: float) -> str:
+    """Return the time of day at which a minute starts."""
+    at = datetime.fromtimestamp(minute * minute_s, UTC)
+    # Only tests have minutes of another length; theirs need the seconds.
+    return at.strftime("%H:%M" if minute_s == 60 else "%H:%M:%S")
+
+
+def date_and_time(minute: int, minute_s: float) -> str:
+    """Return the date and time at which a minute starts."""
+    at = datetime.fromtimestamp(minute * minute_s, UTC)
+    return f"{at:%Y-%m-%d} {clock_time(minute, minute_s)}"
+
+
+@singledispatch
+def time_range(value: object, minute_s: float) -> str:
+    """Return a range of times of day."""
+    raise TypeError(type(value).__name__)
+
+
+@time_range.register
+def _(value: Period, minute_s: float) -> str:
+    first, until = (clock_time(minute, minute_s) for minute in value)
+    return f"{first} to {until} UTC"
+
+
+@time_range.register
+def _(value: Hole, minute_s: float) -> str:
+    return time_range(Period(value.first, value.last + 1), minute_s)
+
+
+def percent(share: float | None, digits: int = 2) -> str:
+    """Return a share in percent, rounded down so that a miss never reads as 100 %."""
+    if share is None:
+        return "none"
+    scale = 10**digits
+    # The addition keeps binary fractions such as 0.99 from reading as 98.99 %.
+    return f"{int(share * 100 * scale + 1e-6) / scale:.{digits}f} %"
+
+
+def first_line(page: Page) -> str:
+    """Say whether the day went well for callers and, if not, where and when."""
+    if not page.calls:
+        return f"No calls were recorded today{_reserve(page)}."
+    missed = page.missed_rows
+    if not missed:
+        services = {row.service for row in page.rows}
+        noun = "service" if len(services) == 1 else "services"
+        return (
+            f"Today went well for callers: {len(services)} {noun} met the objective "
+            f"in every rank{_reserve(page)}."
+        )
+    text = f"Today did not go well for callers of {_miss(missed[0], page)}"
+    if len(missed) > 1:
+        others = ", ".join(f"{row.service} ({row.rank_name})" for row in missed[1:4])
+        more = f" and {len(missed) - 4} more" if len(missed) > 4 else ""
+        text += f"; also missed: {others}{more}"
+    return f"{text}{_reserve(page)}."
+
+
+def _miss(row: Row, page: Page) -> str:
+    return (
+        f"{row.service}, rank {row.rank_name}: {percent(row.in_time_share)} in time "
+        f"against {percent(row.objective)}, worst from "
+        f"{time_range(row.worst, page.minute_s)}"
+    )
+
+
+def _reserve(page: Page) -> str:
+    coverage = page.coverage
+    if coverage.expected and not coverage.complete:
+        return f", as far as the {percent(coverage.share)} of host-minutes covered show"
+    return ""
+
+
+def coverage_line(page: Page) -> str:
+    """Say how much of the day the report covers."""
+    coverage = page.coverage
+    text = (
+        f"{coverage.covered:,} of {coverage.expected:,} host-minutes covered "
+        f"({percent(coverage.share)})"
+    )
+    if page.silent:
+        text += f"; no answer from {', '.join(page.silent)}"
+    return text
+
+
+def hole_lines(page: Page) -> list[str]:
+    """Name every hole by gateway and range of minutes."""
+    return [
+        f"{gateway.gateway}: no summary from {time_range(hole, page.minute_s)} "
+        f"({hole.last - hole.first + 1} min)"
+        for gateway in page.coverage.gateways
+        for hole in gateway.holes
+    ]
+
+
+def cause_line(row: Row) -> str:
+    """Say what took the time of a service that missed."""
+    cause = row.cause
+    name = f"{row.service}, rank {row.rank_name}"
+    numbers = (
+        f"{cause.waiting_ms:.1f} ms waiting and {cause.upstream_ms:.1f} ms at "
+        "upstreams per call"
+    )
+    return f"{name}: {_CAUSES[cause.kind](cause)} ({numbers})"
+
+
+def _dependency_text(cause: Cause) -> str:
+    first, *others = cause.dependencies
+    text = (
+        f"dependency {first} missed in the same period and took "
+        f"{cause.dependency_ms:.1f} ms per call of this service, over all its callers"
+    )
+    if others:
+        text += f"; {', '.join(others)} missed too"
+    return text
+
+
+_CAUSES = {
+    CauseKind.QUEUE: lambda cause: "most time was spent waiting for its own upstreams",
+    CauseKind.DEPENDENCY: _dependency_text,
+    CauseKind.OWN_UPSTREAMS: lambda cause: (
+        "its own upstreams took the time; it depends on no other service"
+    ),
+    CauseKind.UNTOLD: lambda cause: (
+        "the cause cannot be told: its upstreams took the time and no dependency "
+        "missed in the same period"
+    ),
+}
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -51,6 +51,15 @@
     dead_after_s: Annotated[float, Field(gt=0)] = 1.0
 
 
+class ReportingSettings(_Model):
+    """How minute summaries are kept for the report."""
+
+    # Tests shorten the minute; the report then covers a shorter day.
+    minute_s: Annotated[float, Field(gt=0, le=60)] = 60.0
+    # A quarter of the 32 MB that control work may take on a host.
+    store_bytes: Annotated[int, Field(ge=4096)] = 8 * 1024 * 1024
+
+
 class LimitSettings(_Model):
     """Bounds on requests and buffers."""
 
@@ -74,6 +83,7 @@
     mesh: MeshSettings = MeshSettings()
     platform: PlatformSettings = PlatformSettings()
     administration: AdministrationSettings = AdministrationSettings()
+    reporting: ReportingSettings = ReportingSettings()
     limits: LimitSettings = LimitSettings()
     statsd: _Address | None = None
     stop_timeout_s: Annotated[float, Field(gt=0)] | None = None
