--- a/src/dogwoodshed/_internal/reporting/coverage.py
+++ b/src/dogwoodshed/_internal/reporting/coverage.py
@@ -1,6 +1,7 @@
 """Tell which minutes of which gateways the report does not cover."""
 
 from collections.abc import Iterable
+from itertools import zip_longest
 from typing import NamedTuple
 
 from dogwoodshed._internal.reporting.merge import Day, SeenIncarnation
@@ -70,7 +71,7 @@
     covered = set().union(*(seen.minutes for seen in incarnations))
     # A listed gateway that never reported is a hole as long as the day is.
     expected = set() if incarnations else set(range(first, day.until))
-    for seen, later in zip(incarnations, [*incarnations[1:], None], strict=True):
+    for seen, later in zip_longest(incarnations, incarnations[1:]):
         expected.update(range(min(seen.minutes), _end(day, seen, later, listed)))
     expected = expected | covered
     return GatewayCoverage(
--- a/src/dogwoodshed/_internal/reporting/page.py
+++ b/src/dogwoodshed/_internal/reporting/page.py
@@ -48,7 +48,7 @@
     five_minutes: Burn
     # Burn by bin of the day; bins without calls are missing.
     bins: dict[int, Burn]
-    # Where the budget burned fastest, if the day's objective was missed.
+    # Where most of the budget was used, if any of it was.
     worst: Period | None
     cause: Cause | None
 
@@ -60,6 +60,15 @@
     def met(self) -> bool:
         return self.day.missed <= self.day.allowed
 
+    @property
+    def budget_used_in_worst(self) -> float:
+        """Share of the day's error budget that the worst period used."""
+        if self.worst is None:
+            return 0.0
+        first, until = self.worst
+        missed = sum(b.missed for at, b in self.bins.items() if first <= at < until)
+        return missed / self.day.allowed
+
     @property
     def budget_left(self) -> float | None:
         return 1 - self.day.rate if self.day.rate is not None else None
@@ -164,8 +173,9 @@
     bins = {start: value for start, value in bins.items() if value.calls}
     whole = burn(day.counts.tallies)
     worst = cause = None
-    if whole.missed > whole.allowed:
+    if whole.missed:
         worst = worst_period(bins, day.bin_minutes)
+    if whole.missed > whole.allowed:
         cause = find_cause(day, configuration, service, rank, worst)
     names = [rank.name for rank in configuration.ranks]
     return Row(
--- a/src/dogwoodshed/_internal/reporting/words.py
+++ b/src/dogwoodshed/_internal/reporting/words.py
@@ -7,6 +7,9 @@
 from dogwoodshed._internal.reporting.coverage import Hole
 from dogwoodshed._internal.reporting.page import Page, Period, Row
 
+# A period that used less of the day's error budget is not mentioned at the top.
+NOTABLE_SHARE = 0.25
+
 
 def clock_time(minute: int, minute_s: float) -> str:
     """Return the time of day at which a minute starts."""
@@ -57,7 +60,7 @@
         noun = "service" if len(services) == 1 else "services"
         return (
             f"Today went well for callers: {len(services)} {noun} met the objective "
-            f"in every rank{_reserve(page)}."
+            f"in every rank{_bad_spell(page)}{_reserve(page)}."
         )
     text = f"Today did not go well for callers of {_miss(missed[0], page)}"
     if len(missed) > 1:
@@ -75,6 +78,18 @@
     )
 
 
+def _bad_spell(page: Page) -> str:
+    """Mention a short time that used much of a budget on a day that went well."""
+    row = max(page.rows, key=lambda row: row.budget_used_in_worst)
+    if row.budget_used_in_worst < NOTABLE_SHARE:
+        return ""
+    return (
+        f", though {row.service}, rank {row.rank_name}, used "
+        f"{percent(row.budget_used_in_worst, 0)} of its error budget from "
+        f"{time_range(row.worst, page.minute_s)}"
+    )
+
+
 def _reserve(page: Page) -> str:
     coverage = page.coverage
     if coverage.expected and not coverage.complete:
--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -1,10 +1,21 @@
 """Build data for tests."""
 
 import json
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
 from dogwoodshed._internal.configuration.model import Configuration
 from dogwoodshed._internal.configuration.schema import load_configuration
+from dogwoodshed._internal.proxy.server import CallRecord
+from dogwoodshed._internal.reporting.exchange import CollectedDay
+from dogwoodshed._internal.reporting.merge import merge_day
+from dogwoodshed._internal.reporting.page import Page, build_page
+from dogwoodshed._internal.reporting.summary import (
+    Block,
+    Counts,
+    encode_counts,
+    run_steps,
+)
 
 
 def kind_text(name: str = "read", **changes: Any) -> dict[str, Any]:
@@ -66,3 +77,39 @@
     """Build an accepted configuration."""
     text = json.dumps(configuration_text(*services))
     return load_configuration(text, revision, "test")
+
+
+def call_record(**changes: Any) -> CallRecord:
+    """Build the record of a call that was answered in time."""
+    record = CallRecord("profiles", "read", 1, 200, "yes", 0.02, True, 0.005, 0.015)
+    return record._replace(**changes)
+
+
+def block(
+    records: Sequence[CallRecord] = (),
+    *,
+    gateway: str = "g00",
+    incarnation: int = 1,
+    minute: int = 0,
+    final: bool = False,
+    probes: Mapping[str, int] | None = None,
+) -> Block:
+    """Build the summary of one minute of a gateway."""
+    counts = Counts.empty()
+    counts.probes.update(probes or {})
+    for record in records:
+        counts.tally((record.service, record.kind, record.rank)).add_call(record)
+    body = run_steps(encode_counts(counts))
+    return Block(gateway, incarnation, minute, 1, 1, final, body)
+
+
+def page(
+    blocks: Iterable[Block],
+    *services: dict[str, Any],
+    until: int = 1440,
+    listed: Iterable[str] = (),
+) -> Page:
+    """Build the report of a day that ends before minute `until`."""
+    day = run_steps(merge_day(blocks, until - 1440, until))
+    collected = CollectedDay(day, ())
+    return build_page(collected, configuration(*services), listed, 60.0)
--- /dev/null
+++ b/tests/unit/test_report_page.py
@@ -0,0 +1,253 @@
+"""Test what the report says of a day."""
+
+import json
+import re
+import unittest
+from html.parser import HTMLParser
+
+from dogwoodshed._internal.reporting import words
+from dogwoodshed._internal.reporting.causes import CauseKind
+from dogwoodshed._internal.reporting.formats import RENDERERS, choose_format
+from tests.lib import builders
+
+
+def calls(count, missed=0, **changes):
+    """Build records of which some missed."""
+    good = builders.call_record(**changes)
+    late = good._replace(in_time=False, elapsed=0.5, waiting=0.01, upstream=0.49)
+    return [good] * (count - missed) + [late] * missed
+
+
+class BurnTest(unittest.TestCase):
+    def test_burn_rates_over_three_windows(self):
+        """Guards against a window that counts calls from outside, or a wrong unit."""
+        blocks = [
+            builders.block(calls(100), minute=0),
+            builders.block(calls(100, missed=3), minute=1439 - 30),
+            builders.block(calls(100, missed=2), minute=1439),
+        ]
+        row = builders.page(blocks).rows[0]
+        self.assertAlmostEqual(row.five_minutes.rate, 2.0)
+        self.assertAlmostEqual(row.hour.rate, 2.5)
+        self.assertAlmostEqual(row.day.rate, 5 / 3)
+        self.assertAlmostEqual(row.budget_left, 1 - 5 / 3)
+        self.assertFalse(row.met)
+
+    def test_probes_against_the_budget(self):
+        """Guards against a budget of one gateway instead of the fleet's."""
+        service = builders.service_text(
+            addresses=("127.0.0.1:1", "127.0.0.1:2"), probe_budget_per_s=0.5
+        )
+        blocks = [
+            builders.block(gateway=name, minute=minute, probes={"profiles": 7})
+            for name in ("g00", "g01")
+            for minute in (0, 1)
+        ]
+        (probe,) = builders.page(blocks, service).probes
+        self.assertEqual((probe.sent, probe.budget), (28, 120.0))
+
+
+class FirstLineTest(unittest.TestCase):
+    def test_says_that_a_day_went_well(self):
+        """Guards against alarm over misses that the objective allows."""
+        records = calls(1000, missed=2)
+        page = builders.page([builders.block(records, final=True)])
+        self.assertEqual(
+            words.first_line(page),
+            "Today went well for callers: 1 service met the objective in every rank.",
+        )
+
+    def test_names_service_rank_and_time_of_a_miss(self):
+        """Guards against a page that must be read to the end to see a bad day."""
+        text = self.day_with_a_spell(missed=99)
+        self.assertIn("did not go well for callers of profiles, rank normal", text)
+        # Bins of the day last 15 minutes.
+        self.assertIn("worst from 10:00 to 10:30 UTC", text)
+
+    def test_mentions_a_bad_spell_of_a_day_within_the_budget(self):
+        """Guards against a bad quarter of an hour that vanishes in a good day."""
+        text = self.day_with_a_spell(missed=40)
+        self.assertIn("went well", text)
+        self.assertIn("used 41 % of its error budget from 10:00 to 10:30 UTC", text)
+
+    def day_with_a_spell(self, missed):
+        """Return the first line of a day with 15 bad minutes in two bins."""
+        blocks = [
+            builders.block(
+                calls(100, missed=missed * (605 <= minute < 620)), minute=minute
+            )
+            for minute in range(1440)
+        ]
+        return words.first_line(builders.page(blocks))
+
+    def test_a_miss_never_reads_as_met(self):
+        """Guards against rounding 98.999 % up to an objective of 99 %."""
+        self.assertEqual(words.percent(0.98999), "98.99 %")
+        self.assertEqual(words.percent(0.99), "99.00 %")
+
+    def test_says_when_nothing_was_recorded(self):
+        """Guards against praise for a day without calls."""
+        self.assertIn("No calls", words.first_line(builders.page([])))
+
+
+class CoverageTest(unittest.TestCase):
+    def holes(self, blocks, listed=(), until=10):
+        """Return the holes by gateway."""
+        page = builders.page(blocks, until=until, listed=listed)
+        self.assertEqual(
+            page.coverage.expected - page.coverage.covered,
+            sum(h.last - h.first + 1 for g in page.coverage.gateways for h in g.holes),
+        )
+        return {g.gateway: [tuple(h) for h in g.holes] for g in page.coverage.gateways}
+
+    def minutes(self, gateway, *minutes, **changes):
+        """Build empty summaries of some minutes."""
+        return [
+            builders.block(gateway=gateway, minute=minute, **changes)
+            for minute in minutes
+        ]
+
+    def test_names_every_kind_of_hole(self):
+        """Guards against a hole that the page does not show."""
+        blocks = [
+            *self.minutes("whole", *range(10)),
+            *self.minutes("killed", 0, 1, 2),
+            *self.minutes("gap", 0, 1, 4, 5, 8, 9),
+            *self.minutes("vanished", 0, 1),
+        ]
+        self.assertEqual(
+            self.holes(blocks, ("whole", "killed", "gap", "never")),
+            {
+                "whole": [],
+                "killed": [(3, 9)],
+                "gap": [(2, 3), (6, 7)],
+                "vanished": [(2, 2)],
+                "never": [(0, 9)],
+            },
+        )
+
+    def test_a_planned_stop_leaves_no_hole_and_a_crash_does(self):
+        """Guards against reporting restarts as losses, or losses as restarts."""
+        stopped = [
+            *self.minutes("g00", 0, 1),
+            *self.minutes("g00", 2, final=True),
+            *self.minutes("g00", *range(5, 10), incarnation=2),
+        ]
+        crashed = [block._replace(final=False, gateway="g01") for block in stopped]
+        self.assertEqual(
+            self.holes(stopped + crashed, ("g00", "g01")),
+            {"g00": [], "g01": [(3, 4)]},
+        )
+
+    def test_the_first_line_and_text_name_holes(self):
+        """Guards against a verdict that hides how much of the day it rests on."""
+        blocks = [
+            *[builders.block(calls(10), minute=minute) for minute in range(10)],
+            *self.minutes("g01", *range(6)),
+        ]
+        page = builders.page(blocks, until=10, listed=("g00", "g01"))
+        self.assertIn("as far as the 80.00 %", words.first_line(page))
+        text = RENDERERS["text"].render(page)
+        self.assertIn("g01: no summary from 00:06 to 00:10 UTC (4 min)", text)
+
+
+class CauseTest(unittest.TestCase):
+    def cause(self, records, depends_on=("stage",)):
+        """Return the cause that the page names for profiles."""
+        services = (
+            builders.service_text(depends_on=list(depends_on)),
+            builders.service_text("stage"),
+        )
+        page = builders.page([builders.block(records)], *services)
+        return next(row for row in page.rows if row.service == "profiles").cause
+
+    def test_names_a_dependency_only_if_it_missed_too(self):
+        """Guards against blaming a dependency that was well."""
+        bad, well = calls(10, missed=5, service="stage"), calls(10, service="stage")
+        own = calls(10, missed=5)
+        self.assertEqual(self.cause(own + bad).dependencies, ("stage",))
+        self.assertEqual(self.cause(own + well).kind, CauseKind.UNTOLD)
+        self.assertEqual(self.cause(own, ()).kind, CauseKind.OWN_UPSTREAMS)
+
+    def test_names_the_queue_where_calls_waited(self):
+        """Guards against blaming upstreams for time spent before dispatch."""
+        waited = builders.call_record(in_time=False, waiting=0.4, upstream=0.02)
+        self.assertEqual(self.cause([waited] * 9).kind, CauseKind.QUEUE)
+
+
+class _Structure(HTMLParser):
+    """Check that elements nest and collect what a browser would fetch."""
+
+    def __init__(self):
+        super().__init__()
+        self.open, self.tags, self.fetched = [], [], []
+
+    def handle_starttag(self, tag, attributes):
+        self.tags.append(tag)
+        names = dict(attributes)
+        self.fetched += [names[n] for n in ("src", "href", "data") if n in names]
+        if tag not in ("meta", "path", "rect"):
+            self.open.append(tag)
+
+    def handle_startendtag(self, tag, attributes):
+        self.tags.append(tag)
+
+    def handle_endtag(self, tag):
+        assert self.open.pop() == tag, tag
+
+
+class RenderTest(unittest.TestCase):
+    def setUp(self):
+        blocks = [
+            builders.block(calls(50, missed=9), minute=minute)
+            for minute in (1, 700, 1439)
+        ]
+        self.page = builders.page(blocks, listed=("g00", "g<1>"))
+
+    def test_html_is_whole_escaped_and_fetches_nothing(self):
+        """Guards against broken markup, injected names and references to others."""
+        html = RENDERERS["html"].render(self.page)
+        structure = _Structure()
+        structure.feed(html)
+        self.assertEqual(structure.open, [])
+        self.assertEqual(structure.fetched, [])
+        self.assertIn("svg", structure.tags)
+        self.assertNotIn("g<1>", html)
+        self.assertNotRegex(html, r"@import|url\((?!#)|<script")
+        self.assertIn('name="viewport"', html)
+        self.assertIn("@media print", html)
+
+    def test_a_miss_is_told_without_colour(self):
+        """Guards against a page that shows a miss by colour alone."""
+        html = RENDERERS["html"].render(self.page)
+        self.assertIn(">MISSED<", html)
+        self.assertIn("hatched and marked with a triangle", html)
+        self.assertRegex(html, r'<path d="M[\d.]+ [\d.]+l-4 6h8z')
+
+    def test_bars_stay_inside_the_chart(self):
+        """Guards against bins drawn past the edge when the day starts inside one."""
+        html = RENDERERS["html"].render(self.page)
+        bars = re.findall(r"M([\d.]+) [\d.]+v-([\d.]+)h([\d.]+)v", html)
+        self.assertEqual(len(bars), 3)
+        self.assertTrue(all(float(x) + float(w) <= 640 for x, _, w in bars), bars)
+
+    def test_json_holds_the_counts(self):
+        """Guards against a document that programs cannot read."""
+        document = json.loads(RENDERERS["json"].render(self.page))
+        self.assertEqual(document["rows"][0]["calls"], 150)
+        self.assertFalse(document["went_well"])
+        self.assertEqual(document["coverage"]["gateways"][1]["gateway"], "g<1>")
+
+    def test_the_format_follows_query_and_accept(self):
+        """Guards against HTML for programs or JSON for browsers."""
+        browser = "text/html,application/xhtml+xml,*/*;q=0.8"
+        self.assertEqual(choose_format(None, browser), "html")
+        self.assertEqual(choose_format(None, "application/json"), "json")
+        self.assertEqual(choose_format(None, ""), "text")
+        self.assertEqual(choose_format("json", browser), "json")
+        self.assertIsNone(choose_format("pdf", browser))
+        self.assertIsNone(choose_format(None, "image/png"))
+
+
+if __name__ == "__main__":
+    unittest.main()
