--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -154,12 +154,23 @@
     exclude: tuple[tuple[str, int], ...] = ()
 
 
+class Sighting(NamedTuple):
+    """Minutes over which a peer was live; both ends are included."""
+
+    gateway: str
+    incarnation: int
+    first: int
+    last: int
+
+
 class SummaryReply(NamedTuple):
     """Give a part of the minute summaries."""
 
     summaries: tuple[bytes, ...]
     # Key to ask on from; empty after the last part.
     next: tuple[Any, ...] = ()
+    # In the last part: incarnations that were live and are not excluded.
+    sightings: tuple[Sighting, ...] = ()
 
 
 class Acknowledged(NamedTuple):
--- a/src/dogwoodshed/_internal/reporting/coverage.py
+++ b/src/dogwoodshed/_internal/reporting/coverage.py
@@ -4,6 +4,7 @@
 from itertools import zip_longest
 from typing import NamedTuple
 
+from dogwoodshed._internal.mesh.messages import Sighting
 from dogwoodshed._internal.reporting.merge import Day, SeenIncarnation
 
 
@@ -46,16 +47,31 @@
         return self.covered == self.expected
 
 
-def measure_coverage(day: Day, listed: Iterable[str]) -> Coverage:
+def measure_coverage(
+    day: Day, listed: Iterable[str], sightings: Iterable[Sighting] = ()
+) -> Coverage:
     """Compare the minutes of a day with those in which gateways should have run."""
     listed = set(listed)
     first = min((min(seen.minutes) for seen in day.seen), default=day.until)
     by_gateway: dict[str, list[SeenIncarnation]] = {name: [] for name in listed}
     for seen in day.seen:
         by_gateway.setdefault(seen.gateway, []).append(seen)
+    incarnations = {seen[:2]: seen for seen in day.seen}
+    sighted: dict[str, set[int]] = {}
+    for entry in sightings:
+        by_gateway.setdefault(entry.gateway, [])
+        minutes = sighted.setdefault(entry.gateway, set())
+        minutes.update(_sighted_minutes(day, entry, incarnations.get(entry[:2])))
     return Coverage(
         tuple(
-            _gateway_coverage(day, name, incarnations, name in listed, first)
+            _gateway_coverage(
+                day,
+                name,
+                incarnations,
+                listed=name in listed,
+                sighted=sighted.get(name, set()),
+                first=first,
+            )
             for name, incarnations in sorted(by_gateway.items())
         )
     )
@@ -65,12 +81,16 @@
     day: Day,
     name: str,
     incarnations: list[SeenIncarnation],
+    *,
     listed: bool,
+    sighted: set[int],
     first: int,
 ) -> GatewayCoverage:
     covered = set().union(*(seen.minutes for seen in incarnations))
-    # A listed gateway that never reported is a hole as long as the day is.
-    expected = set() if incarnations else set(range(first, day.until))
+    expected = set(sighted)
+    if listed and not incarnations:
+        # A listed gateway that never reported is a hole as long as the day is.
+        expected.update(range(first, day.until))
     for seen, later in zip_longest(incarnations, incarnations[1:]):
         expected.update(range(min(seen.minutes), _end(day, seen, later, listed)))
     expected = expected | covered
@@ -83,6 +103,19 @@
     )
 
 
+def _sighted_minutes(day: Day, entry: Sighting, seen: SeenIncarnation | None) -> range:
+    first, last = entry.first, entry.last
+    if seen is None:
+        # It may have served callers up to the end of the minute that it left in.
+        last += 1
+    else:
+        # Clocks differ: the first minute may be the one before the peer's own first.
+        first += 1
+        if seen.stopped_at is not None:
+            last = min(last, seen.stopped_at)
+    return range(max(day.since, first), min(day.until, last + 1))
+
+
 def _end(
     day: Day, seen: SeenIncarnation, later: SeenIncarnation | None, listed: bool
 ) -> int:
--- a/src/dogwoodshed/_internal/reporting/exchange.py
+++ b/src/dogwoodshed/_internal/reporting/exchange.py
@@ -13,6 +13,7 @@
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.mesh.messages import (
     Acknowledged,
+    Sighting,
     Summary,
     SummaryReply,
     SummaryRequest,
@@ -21,6 +22,7 @@
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.reporting.merge import Day, merge_day
 from dogwoodshed._internal.reporting.recorder import ClosedMinute, MinuteRecorder
+from dogwoodshed._internal.reporting.sightings import SightingLog
 from dogwoodshed._internal.reporting.store import DAY_MINUTES, SummaryStore
 from dogwoodshed._internal.reporting.summary import Block, encode_counts
 from dogwoodshed._internal.settings import Settings
@@ -41,6 +43,7 @@
 
     day: Day
     silent: tuple[str, ...]
+    sightings: tuple[Sighting, ...] = ()
 
 
 class SummaryExchange(Service):
@@ -66,6 +69,7 @@
         self._metrics = metrics
         self._recorder = MinuteRecorder(self._settings.minute_s, clock)
         self._store = SummaryStore(self._settings.store_bytes, metrics)
+        self._sightings = SightingLog()
         self._cached: CollectedDay | None = None
         self._collecting = asyncio.Lock()
         self._publishing: set[asyncio.Task[None]] = set()
@@ -90,6 +94,7 @@
             await self.sleep(self._recorder.until_next_minute)
             closed = self._recorder.close_minute()
             if closed is not None:
+                self._sightings.note(closed.minute, self._live().items())
                 task = asyncio.ensure_future(self._publish(closed, final=False))
                 self._publishing.add(task)
                 task.add_done_callback(self._publishing.discard)
@@ -121,26 +126,31 @@
 
     async def _collect(self, until: int) -> CollectedDay:
         since = until - DAY_MINUTES
-        views = self._membership.views
-        live = {peer: view.incarnation for peer, view in views.items()}
-        blocks, silent = await self._ask_all(since, tuple(live), live)
+        live = self._live()
+        blocks, sightings, silent = await self._ask_all(since, tuple(live), live)
         if silent:
             # The summaries of those that do not answer are with their keepers.
             others = tuple(peer for peer in live if peer not in silent)
             answering = {peer: live[peer] for peer in others}
             blocks += (await self._ask_all(since, others, answering))[0]
         day = await _run(merge_day([*blocks, *self._store], since, until))
-        return CollectedDay(day, silent)
+        sightings |= set(self._sightings.sightings())
+        return CollectedDay(day, silent, tuple(sorted(sightings)))
+
+    def _live(self) -> dict[str, int]:
+        views = self._membership.views
+        return {peer: view.incarnation for peer, view in views.items()}
 
     async def _ask_all(
         self, since: int, peers: tuple[str, ...], live: dict[str, int]
-    ) -> tuple[list[Block], tuple[str, ...]]:
+    ) -> tuple[list[Block], set[Sighting], tuple[str, ...]]:
         exclude = ((self._mesh.id, self._mesh.incarnation), *live.items())
         answers = await asyncio.gather(
             *(self._ask(peer, since, exclude) for peer in peers),
             return_exceptions=True,
         )
         blocks: list[Block] = []
+        sightings: set[Sighting] = set()
         silent = []
         for peer, answer in zip(peers, answers, strict=True):
             if isinstance(answer, MeshError):
@@ -148,12 +158,13 @@
             elif isinstance(answer, BaseException):
                 raise answer
             else:
-                blocks += answer
-        return blocks, tuple(silent)
+                blocks += answer[0]
+                sightings.update(answer[1])
+        return blocks, sightings, tuple(silent)
 
     async def _ask(
         self, peer: str, since: int, exclude: tuple[tuple[str, int], ...]
-    ) -> list[Block]:
+    ) -> tuple[list[Block], tuple[Sighting, ...]]:
         blocks: list[Block] = []
         after: tuple[Any, ...] = ()
         while True:
@@ -162,7 +173,7 @@
             )
             blocks += (Block.from_bytes(data) for data in reply.summaries)
             if not reply.next:
-                return blocks
+                return blocks, reply.sightings
             after = reply.next
 
     async def _publish(self, closed: ClosedMinute, *, final: bool) -> None:
@@ -175,6 +186,7 @@
         if self._share:
             await self._send_to_keepers(block)
         self._store.expire(closed.minute)
+        self._sightings.expire(closed.minute - DAY_MINUTES)
         await _run(self._store.compact())
 
     async def _send_to_keepers(self, block: Block) -> None:
@@ -227,7 +239,7 @@
             summaries.append(data)
             size += len(data)
             last = block.key
-        return SummaryReply(tuple(summaries))
+        return SummaryReply(tuple(summaries), (), self._sightings.sightings(excluded))
 
 
 def keepers_in_order(block: Block, peers: Iterable[str]) -> Iterable[str]:
--- a/src/dogwoodshed/_internal/reporting/page.py
+++ b/src/dogwoodshed/_internal/reporting/page.py
@@ -129,7 +129,7 @@
             keys.setdefault((key[0], key[2]), []).append(key)
         else:
             unconfigured.append(key)
-    coverage = measure_coverage(day, listed)
+    coverage = measure_coverage(day, listed, collected.sightings)
     return Page(
         configuration.fleet,
         configuration.revision,
--- a/src/dogwoodshed/_internal/standins/caller.py
+++ b/src/dogwoodshed/_internal/standins/caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -41,6 +42,10 @@
     tries: int
     mixed_up: bool
     sent_at: float
+    # Index of the gateway of the last try, and wall-clock times around all tries.
+    gateway: int = 0
+    started_wall: float = 0.0
+    ended_wall: float = 0.0
 
     @property
     def answered(self) -> bool:
@@ -118,7 +123,7 @@
         flow = arrival.flow
         request_id = f"{flow.name}-{arrival.number}"
         loop = asyncio.get_running_loop()
-        started = loop.time()
+        started, started_wall = loop.time(), time.time()
         self._sent += 1
         for attempt in range(1, self._tries + 1):
             gateway = (arrival.gateway + attempt - 1) % len(self._gateways)
@@ -142,6 +147,9 @@
                 attempt,
                 mixed_up,
                 arrival.at,
+                gateway,
+                started_wall,
+                time.time(),
             )
         )
 
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -8,6 +8,7 @@
 import tempfile
 from collections.abc import Mapping, Sequence
 from pathlib import Path
+from types import MappingProxyType
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -127,6 +128,7 @@
         *,
         data_centres: Sequence[str] = ("dc-1",),
         with_links: bool = False,
+        administration: Mapping[str, Any] = MappingProxyType({}),
         **settings: Any,
     ) -> None:
         """Start gateways that know each other and wait until all serve."""
@@ -149,7 +151,8 @@
                         "listen": f"127.0.0.1:{ports[count + index]}",
                         "mesh": {"listen": mesh[index], "peers": peers},
                         "administration": {
-                            "listen": f"127.0.0.1:{ports[2 * count + index]}"
+                            "listen": f"127.0.0.1:{ports[2 * count + index]}",
+                            **administration,
                         },
                         "platform": {"address": self.platform},
                         **settings,
--- a/tests/unit/test_report_page.py
+++ b/tests/unit/test_report_page.py
@@ -7,7 +7,11 @@
 
 from dogwoodshed._internal.reporting import words
 from dogwoodshed._internal.reporting.causes import CauseKind
+from dogwoodshed._internal.reporting.coverage import measure_coverage
 from dogwoodshed._internal.reporting.formats import RENDERERS, choose_format
+from dogwoodshed._internal.reporting.merge import merge_day
+from dogwoodshed._internal.reporting.sightings import SightingLog
+from dogwoodshed._internal.reporting.summary import run_steps
 from tests.lib import builders
 
 
@@ -126,6 +130,20 @@
             },
         )
 
+    def test_a_gateway_whose_summaries_are_all_lost_is_a_hole(self):
+        """Guards against a stopped host that vanishes from the report with its data."""
+        log = SightingLog()
+        for minute in range(8):
+            # It stops in minute 6, is gone in minute 7 and was restarted before 5.
+            live = [("lost", 1 if minute < 5 else 2)] if minute < 7 else []
+            log.note(minute, [*live, ("kept", 1)])
+        day = run_steps(merge_day(self.minutes("kept", *range(8)), 0, 8))
+        coverage = measure_coverage(day, ("kept",), log.sightings())
+        holes = {entry.gateway: entry.holes for entry in coverage.gateways}
+        self.assertEqual(holes, {"kept": (), "lost": ((0, 7),)})
+        log.expire(5)
+        self.assertEqual(len(log.sightings(exclude={("kept", 1)})), 1)
+
     def test_a_planned_stop_leaves_no_hole_and_a_crash_does(self):
         """Guards against reporting restarts as losses, or losses as restarts."""
         stopped = [
