--- a/src/dogwoodshed/_internal/configuration/store.py
+++ b/src/dogwoodshed/_internal/configuration/store.py
@@ -41,6 +41,10 @@
     def seen_revision(self) -> int:
         return max(self.revision, self._rejected_revision)
 
+    @property
+    def rejected_revision(self) -> int:
+        return self._rejected_revision
+
     @property
     def rejection(self) -> ConfigurationError | None:
         return self._rejection
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -5,7 +5,7 @@
 understand each other during an upgrade.
 """
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 PROTOCOL_VERSION = 1
 
@@ -178,15 +178,32 @@
 
 
 class SummaryRequest(NamedTuple):
-    """Ask for all minute summaries from a minute on."""
+    """Ask for minute summaries from a minute on, a part at a time."""
 
     since_minute: int
+    # Key of the last summary of the previous part.
+    after: tuple[Any, ...] = ()
+    # Incarnations whose summaries their own gateways give.
+    exclude: tuple[tuple[str, int], ...] = ()
+
+
+class Sighting(NamedTuple):
+    """Minutes over which a peer was live; both ends are included."""
+
+    gateway: str
+    incarnation: int
+    first: int
+    last: int
 
 
 class SummaryReply(NamedTuple):
-    """Give minute summaries."""
+    """Give a part of the minute summaries."""
 
     summaries: tuple[bytes, ...]
+    # Key to ask on from; empty after the last part.
+    next: tuple[Any, ...] = ()
+    # In the last part: incarnations that were live and are not excluded.
+    sightings: tuple[Sighting, ...] = ()
 
 
 class Acknowledged(NamedTuple):
--- a/src/dogwoodshed/_internal/platform/watcher.py
+++ b/src/dogwoodshed/_internal/platform/watcher.py
@@ -34,6 +34,10 @@
         self._metrics = metrics
         self._reachable = True
 
+    @property
+    def reachable(self) -> bool:
+        return self._reachable
+
     @Service.task
     async def _follow(self) -> None:
         index = 0
--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -158,6 +158,8 @@
         address = pool.address
         # From here on the upstream may have seen the call.
         call.dispatched = True
+        if call.dispatched_at is None:
+            call.dispatched_at = now
         try:
             async with asyncio.timeout(limit) as attempt.limit:
                 response = await pool.session.request(
--- a/src/dogwoodshed/_internal/proxy/relay.py
+++ b/src/dogwoodshed/_internal/proxy/relay.py
@@ -113,6 +113,7 @@
         ):
             return False
         course.moved += 1
+        call.retries += 1
         self._metrics.increment("calls.moved")
         return True
 
@@ -134,6 +135,7 @@
         if not self._retries.take_repeat(call, course.repeated, now):
             return False
         course.repeated += 1
+        call.retries += 1
         self._metrics.increment("calls.repeated")
         return True
 
@@ -160,6 +162,7 @@
             async def hedge() -> Answer:
                 excluded = frozenset({*course.tried, slot.upstream.address})
                 other = await self._router.acquire(call, exclude=excluded)
+                call.hedges += 1
                 self._metrics.increment("calls.hedged")
                 return await self._sender.send(
                     call, request, other, remaining, lambda: False
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -51,6 +51,12 @@
     ran: str
     elapsed: float
     in_time: bool
+    # Seconds before the first dispatch, and from then to the end.
+    waiting: float = 0.0
+    upstream: float = 0.0
+    retries: int = 0
+    hedges: int = 0
+    double_prevented: bool = False
 
 
 class Recorder(Protocol):
@@ -167,7 +173,9 @@
         started = self._clock.monotonic()
         call: Call | None = None
         try:
-            call, outbound = await self._read(request, started)
+            check_request(request)
+            call = parse_call(request, self._store.current, started)
+            outbound = await self._read(request, call)
             answer = await self._forward(call, outbound)
             response, end = await send_answer(
                 request,
@@ -192,21 +200,14 @@
             self._leave()
         return response
 
-    async def _read(
-        self, request: web.BaseRequest, started: float
-    ) -> tuple[Call, OutboundRequest]:
-        check_request(request)
-        call = parse_call(request, self._store.current, started)
+    async def _read(self, request: web.BaseRequest, call: Call) -> OutboundRequest:
         body = await read_body(
             request, self._limits, call.deadline - self._clock.monotonic()
         )
         outbound_headers = headers.for_upstream(request.headers)
         outbound_headers[headers.DEPTH] = str(call.depth + 1)
         outbound_headers[headers.RANK] = str(call.rank)
-        outbound = OutboundRequest(
-            request.method, request.raw_path, outbound_headers, body
-        )
-        return call, outbound
+        return OutboundRequest(request.method, request.raw_path, outbound_headers, body)
 
     async def _forward(self, call: Call, outbound: OutboundRequest) -> Answer:
         if call.idempotent:
@@ -260,6 +261,9 @@
         if call is None:
             return
         elapsed = self._clock.monotonic() - started
+        waiting = elapsed
+        if call.dispatched_at is not None:
+            waiting = call.dispatched_at - started
         in_time = ran == "yes" and status < 500 and elapsed <= call.kind.time_limit
         self._recorder.record(
             CallRecord(
@@ -270,6 +274,11 @@
                 ran,
                 elapsed,
                 in_time,
+                waiting,
+                elapsed - waiting,
+                call.retries,
+                call.hedges,
+                call.double_prevented,
             )
         )
 
