--- /dev/null
+++ b/tests/functional/test_check.py
@@ -0,0 +1,190 @@
+"""Test the check command on valid and broken configuration texts."""
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import NamedTuple
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+# Each broken text differs from this one in one numbered line.
+VALID = """\
+{
+  "fleet": "test",
+  "ranks": [
+    { "name": "urgent", "floor_percent": 20 },
+    { "name": "normal", "floor_percent": 20 },
+    { "name": "bulk", "floor_percent": 10 }
+  ],
+  "services": [
+    {
+      "name": "profiles",
+      "path_prefix": "/profiles",
+      "depends_on": ["billing"],
+      "slots_per_upstream": 2,
+      "upstreams": [
+        { "address": "10.1.0.1:80", "data_centre": "lima-1" }
+      ],
+      "kinds": [
+        // Reads are urgent.
+        { "name": "read", "path": "/profiles", "rank": "urgent", "idempotent": true,
+          "time_limit_ms": 150 }
+      ]
+    },
+    {
+      "name": "billing",
+      "path_prefix": "/billing",
+      "slots_per_upstream": 2,
+      "discover": "billing",
+      "kinds": [
+        { "name": "charge", "path": "/billing", "rank": "urgent", "idempotent": false,
+          "time_limit_ms": 1000 }
+      ]
+    }
+  ]
+}
+"""
+
+
+class Broken(NamedTuple):
+    """A text with one error: the line that is replaced and what is reported."""
+
+    name: str
+    line: int
+    replacement: str
+    key: str
+    problem: str
+    # The reported line, where it is not the replaced one.
+    reported: int = 0
+
+
+BROKEN = (
+    Broken("syntax error", 13, '"slots_per_upstream" 2,', "syntax", ""),
+    Broken(
+        "unknown key",
+        2,
+        '"fleet": "test", "colour": "red",',
+        "colour",
+        "unknown key; expected no such key",
+    ),
+    Broken(
+        "missing key",
+        10,
+        "",
+        "services[0].name",
+        "missing key; expected a value",
+        reported=9,
+    ),
+    Broken(
+        "wrong type",
+        13,
+        '"slots_per_upstream": "two",',
+        "services[0].slots_per_upstream",
+        "got 'two'; expected a valid integer",
+    ),
+    Broken(
+        "wrong range",
+        20,
+        '"time_limit_ms": 0 }',
+        "services[0].kinds[0].time_limit_ms",
+        "got 0; expected greater than 0",
+    ),
+    Broken(
+        "unknown rank",
+        19,
+        '{ "name": "read", "path": "/profiles", "rank": "soon", "idempotent": true,',
+        "services[0].kinds[0].rank",
+        "unknown rank 'soon'; expected one of bulk, normal, urgent",
+    ),
+    Broken(
+        "dangling dependency",
+        12,
+        '"depends_on": ["bills"],',
+        "services[0].depends_on[0]",
+        "unknown service 'bills'; expected a service's name",
+    ),
+    Broken(
+        "dependency cycle",
+        26,
+        '"slots_per_upstream": 2, "depends_on": ["profiles"],',
+        "services[0].depends_on",
+        "cycle profiles -> billing -> profiles; expected no cycle",
+        reported=12,
+    ),
+    Broken(
+        "duplicate name",
+        5,
+        '{ "name": "urgent", "floor_percent": 20 },',
+        "ranks[1].name",
+        "'urgent' is used twice; expected a unique value",
+    ),
+    Broken(
+        "duplicate key",
+        26,
+        '"slots_per_upstream": 2, "slots_per_upstream": 3,',
+        "services[1].slots_per_upstream",
+        "repeated key; expected each key once",
+    ),
+    Broken(
+        "bad address",
+        15,
+        '{ "address": "10.1.0.1", "data_centre": "lima-1" }',
+        "services[0].upstreams[0].address",
+        "got '10.1.0.1'; expected ",
+    ),
+    Broken(
+        "floors over 100 percent",
+        4,
+        '{ "name": "urgent", "floor_percent": 80 },',
+        "ranks",
+        "floors add up to 110 percent; expected at most 100",
+        reported=3,
+    ),
+)
+
+
+def run_check(path: Path) -> subprocess.CompletedProcess[str]:
+    """Run the command as an operator does."""
+    return subprocess.run(
+        [sys.executable, "-m", "dogwoodshed", "check", str(path)],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=60,
+    )
+
+
+class CheckTest(unittest.TestCase):
+    def test_reports_the_one_error_with_its_line(self):
+        """Guards against a wrong line, a missed error and follow-on errors."""
+        with tempfile.TemporaryDirectory() as directory:
+            for broken in BROKEN:
+                with self.subTest(broken.name):
+                    lines = VALID.splitlines()
+                    lines[broken.line - 1] = broken.replacement
+                    path = Path(directory, "text.jsonc")
+                    path.write_text("\n".join(lines), encoding="utf-8")
+                    result = run_check(path)
+                    line = broken.reported or broken.line
+                    start = f"{path}:{line}: {broken.key}: {broken.problem}"
+                    self.assertEqual(result.returncode, 2)
+                    self.assertEqual(result.stdout, "")
+                    self.assertEqual(len(result.stderr.splitlines()), 1, result.stderr)
+                    self.assertTrue(result.stderr.startswith(start), result.stderr)
+
+    def test_accepts_valid_texts(self):
+        """Guards against examples that the command refuses."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory, "text.jsonc")
+            path.write_text(VALID, encoding="utf-8")
+            for valid in (path, *sorted(EXAMPLES.glob("*.jsonc"))):
+                with self.subTest(valid.name):
+                    result = run_check(valid)
+                    self.assertEqual(result.stderr, "")
+                    self.assertEqual(result.returncode, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
