Compare routing policies on the same arrivals with real processes

The design claims figures for its policy from a paper trial only. The command python -m bench.policies runs every registered policy on the same seeds and arrival plans, with real gateways, upstreams and load processes, and prints latency, service by rank, probes, control bytes and processor shares, then each target with pass or MISS. A call without an answer counts as endless.

The policy slices is not registered yet, so its targets are printed as not measured.

--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,35 @@
+"""Send the planned calls of one load process and print their results."""
+
+import asyncio
+import json
+import resource
+import sys
+from typing import Any
+
+from dogwoodshed._internal.standins.caller import Callers, Flow
+
+
+async def _send(order: dict[str, Any]) -> dict[str, Any]:
+    callers = Callers(order["gateways"])
+    results = await callers.run(
+        [Flow(**flow) for flow in order["flows"]],
+        order["duration"],
+        order["seed"],
+        order["weights"],
+    )
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    return {
+        "processor_s": usage.ru_utime + usage.ru_stime,
+        "results": [
+            (r.flow, r.rank, r.ran, r.elapsed, r.sent_at, r.status) for r in results
+        ],
+    }
+
+
+def main() -> None:
+    """Send the calls ordered by JSON on standard input."""
+    print(json.dumps(asyncio.run(_send(json.loads(sys.stdin.read())))))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/measure.py
@@ -0,0 +1,212 @@
+"""Run one policy on one case with real processes."""
+
+import asyncio
+import json
+import os
+import sys
+from collections.abc import Iterable
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from bench.cases import Case, User, configuration, flows
+from dogwoodshed._internal.exceptions import StandInError
+from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup
+
+UPSTREAM_PROCESSES = 4
+LOAD_PROCESSES = 2
+FLOOD_LOAD_PROCESSES = 4
+DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
+# The callers wait for their last answers at most this long after the last call.
+TAIL_TIMEOUT_S = 60.0
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+class Plan(NamedTuple):
+    """What stays the same over all policies."""
+
+    user: User
+    gateways: int
+    duration: float
+    # Calls sent earlier warm the system up and are not counted.
+    warm_up: float
+    seed: int
+
+
+class CallRow(NamedTuple):
+    """One call as its caller saw it."""
+
+    flow: str
+    rank: str
+    ran: str
+    elapsed: float
+    sent_at: float
+    status: int
+
+    @property
+    def answered(self) -> bool:
+        return self.ran == "yes" and self.status < 400
+
+
+class Run(NamedTuple):
+    """The measurements of one policy on one case."""
+
+    policy: str
+    case: str
+    rows: list[CallRow]
+    # Cores in use on average: the busiest gateway, all gateways, the busiest load
+    # process, the busiest stand-in.
+    gateway_cores: float
+    gateways_cores: float
+    load_cores: float
+    stand_in_cores: float
+    # Probes of the most probed upstream, and how long was counted.
+    most_probes: int
+    counted_s: float
+    control_bytes_per_s: float | None
+
+
+async def run_case(plan: Plan, policy: str, case: Case) -> Run:
+    """Start the processes, send the load and end the processes."""
+    fleet = Fleet()
+    try:
+        await _start(fleet, plan, policy, case)
+        return await _measure(fleet, plan, policy, case)
+    finally:
+        await fleet.stop()
+
+
+async def _start(fleet: Fleet, plan: Plan, policy: str, case: Case) -> None:
+    user = plan.user
+    await fleet.start_platform()
+    behaviour = {"slots": user.slots, "mean_ms": user.mean_ms, **case.all_upstreams}
+    share = user.upstreams // UPSTREAM_PROCESSES
+    counts = [share] * (UPSTREAM_PROCESSES - 1)
+    counts.append(user.upstreams - sum(counts))
+    await fleet.start_upstreams(
+        [
+            UpstreamGroup("work", count, behaviour, seed=plan.seed + 1000 * number)
+            for number, count in enumerate(counts)
+        ]
+    )
+    addresses = fleet.upstreams["work"]
+    if case.first_upstream:
+        await fleet.control_upstream(addresses[0], case.first_upstream)
+    await fleet.publish(json.dumps(configuration(user, addresses)))
+    central = policy == "central"
+    await fleet.start_gateways(
+        1 if central else plan.gateways,
+        data_centres=DATA_CENTRES,
+        routing="slices" if central else policy,
+    )
+
+
+async def _measure(fleet: Fleet, plan: Plan, policy: str, case: Case) -> Run:
+    loop = asyncio.get_running_loop()
+    gateways = [gateway.pid for gateway in fleet.gateways]
+    processor = {pid: _processor_s(pid) for pid in gateways + fleet.stand_in_pids}
+    probes = await _probes(fleet)
+    traffic = await _control_bytes(fleet)
+    started = loop.time()
+    answers = await _send_load(fleet, plan, case)
+    elapsed = loop.time() - started
+    after = await _probes(fleet)
+    traffic_after = await _control_bytes(fleet)
+    used = {pid: (_processor_s(pid) - processor[pid]) / elapsed for pid in processor}
+    control = None
+    if traffic is not None and traffic_after is not None:
+        control = (traffic_after - traffic) / elapsed / len(gateways)
+    rows = [CallRow(*row) for answer in answers for row in answer["results"]]
+    return Run(
+        policy,
+        case.name,
+        [row for row in rows if row.sent_at >= plan.warm_up],
+        gateway_cores=max(used[pid] for pid in gateways),
+        gateways_cores=sum(used[pid] for pid in gateways),
+        load_cores=max(answer["processor_s"] for answer in answers) / elapsed,
+        stand_in_cores=max(used[pid] for pid in fleet.stand_in_pids),
+        most_probes=max(b - a for a, b in zip(probes, after, strict=True)),
+        counted_s=elapsed,
+        control_bytes_per_s=control,
+    )
+
+
+async def _send_load(fleet: Fleet, plan: Plan, case: Case) -> list[dict[str, Any]]:
+    processes = FLOOD_LOAD_PROCESSES if case.flood_rank else LOAD_PROCESSES
+    addresses = [gateway.address for gateway in fleet.gateways]
+    order = {
+        "gateways": addresses,
+        "flows": flows(plan.user, case, processes),
+        "duration": plan.duration,
+        "weights": weights(len(addresses)),
+    }
+    # Cases share their seeds, so that a fault meets the arrivals of the case without.
+    orders = [
+        json.dumps({**order, "seed": plan.seed + number}) for number in range(processes)
+    ]
+    timeout = plan.duration + TAIL_TIMEOUT_S
+    return await asyncio.gather(*(_run_load(text, timeout) for text in orders))
+
+
+async def _run_load(order: str, timeout: float) -> dict[str, Any]:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "bench.load",
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        output, _ = await asyncio.wait_for(process.communicate(order.encode()), timeout)
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+    if process.returncode:
+        raise StandInError(f"load process ended with {process.returncode}")
+    return json.loads(output)
+
+
+def weights(count: int) -> list[float]:
+    """Return the skewed shares of the gateways in the arrivals, 0.4 to 1.6."""
+    if count == 1:
+        return [1.0]
+    return [0.4 + 1.2 * index / (count - 1) for index in range(count)]
+
+
+def _processor_s(pid: int) -> float:
+    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
+
+
+async def _probes(fleet: Fleet) -> list[int]:
+    states = await fleet.upstream_states("work")
+    return [state["counts"].get("probes", 0) for state in states]
+
+
+async def _control_bytes(fleet: Fleet) -> int | None:
+    """Return the bytes sent between gateways, or None without a status page."""
+    total = 0
+    for gateway in fleet.gateways:
+        status = await read_status(fleet.session, gateway.administration)
+        if status is None:
+            return None
+        total += sum(_sent_bytes(status))
+    return total
+
+
+async def read_status(
+    session: aiohttp.ClientSession, address: str
+) -> dict[str, Any] | None:
+    """Return the status of a gateway, or None if it offers none."""
+    try:
+        async with session.get(f"http://{address}/status") as response:
+            return await response.json() if response.status == 200 else None
+    except (aiohttp.ClientError, OSError):
+        return None
+
+
+def _sent_bytes(status: dict[str, Any]) -> Iterable[int]:
+    for peer in status.get("peers", []):
+        yield peer.get("sent_bytes", 0)
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,175 @@
+"""Compare routing policies on the same arrivals; run with `python -m bench.policies`.
+
+Each run uses real gateway, upstream and load processes on loopback.
+"""
+
+import argparse
+import asyncio
+import json
+import math
+import os
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from bench.analysis import Summary, summarise, verdicts
+from bench.cases import CASES, FLOORS, RANKS, USERS, User
+from bench.measure import FLOOD_LOAD_PROCESSES, UPSTREAM_PROCESSES, Plan, run_case
+from dogwoodshed._internal import plugins, registry
+
+POLICIES = ("round_robin", "random", "least_in_flight", "slices", "central")
+OUTPUT = Path(".bench")
+# Gateways are idle most of the time; more than this for each core delays all of them.
+PROCESSES_PER_CORE = 4
+FULL_S, QUICK_S = 60.0, 15.0
+FULL_WARM_UP_S, QUICK_WARM_UP_S = 5.0, 3.0
+
+
+def main() -> int:
+    """Run the comparison and return 1 if a target was missed."""
+    options = _parse()
+    policies = known_policies(options.policies)
+    gateways = _fitting_gateways(options.gateways)
+    missed = False
+    for name in options.users:
+        user = USERS[name]
+        duration = options.seconds or (QUICK_S if options.quick else FULL_S)
+        warm_up = QUICK_WARM_UP_S if options.quick else FULL_WARM_UP_S
+        plan = Plan(user, gateways, duration + warm_up, warm_up, options.seed)
+        missed |= _compare(plan, policies, options.cases)
+    return int(missed)
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog="bench.policies", description=__doc__)
+    parser.add_argument("--gateways", type=int, default=16)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true", help="shorter runs")
+    parser.add_argument("--seconds", type=float, help="length of each run")
+    parser.add_argument("--policies", nargs="+", default=POLICIES, choices=POLICIES)
+    parser.add_argument("--cases", nargs="+", default=tuple(CASES), choices=CASES)
+    parser.add_argument("--users", nargs="+", default=tuple(USERS), choices=USERS)
+    return parser.parse_args()
+
+
+def known_policies(names: list[str]) -> list[str]:
+    """Leave out policies that are not registered."""
+    plugins.load()
+    known = set(registry.names(registry.ROUTING))
+    if "slices" in known:
+        known.add("central")
+    for name in names:
+        if name not in known:
+            print(f"policy {name} is not registered: skipped")
+    return [name for name in names if name in known]
+
+
+def _fitting_gateways(wanted: int) -> int:
+    others = UPSTREAM_PROCESSES + FLOOD_LOAD_PROCESSES
+    fitting = max(2, PROCESSES_PER_CORE * (os.cpu_count() or 1) - others)
+    if fitting < wanted:
+        print(f"this machine carries {fitting} gateways, not {wanted}")
+    return min(wanted, fitting)
+
+
+def _compare(plan: Plan, policies: list[str], cases: list[str]) -> bool:
+    user = plan.user
+    print(
+        f"\n{user.name}: {user.upstreams} upstreams x {user.slots} slots, mean "
+        f"{user.mean_ms:g} ms, capacity {user.capacity_per_s:g} calls/s, "
+        f"{plan.gateways} gateways, seed {plan.seed}, "
+        f"{plan.duration - plan.warm_up:g} s counted after {plan.warm_up:g} s"
+    )
+    summaries: dict[tuple[str, str], Summary] = {}
+    for name in cases:
+        _print_header(name)
+        for policy in policies:
+            if policy == "central" and CASES[name].flood_rank:
+                print(f"{policy:16} not run: a flood exceeds one process")
+                continue
+            run = asyncio.run(run_case(plan, policy, CASES[name]))
+            summary = summarise(run, user, plan.duration - plan.warm_up)
+            summaries[policy, name] = summary
+            _print_summary(policy, summary, user)
+    results = verdicts(summaries)
+    print("\ntargets")
+    for verdict in results:
+        print(f"  {verdict}")
+    _write(plan, summaries, results)
+    return any(verdict.met is False for verdict in results)
+
+
+def _print_header(name: str) -> None:
+    print(f"\n{user_case(name)}")
+    print(
+        f"{'policy':16} {'rank':7} {'sent':>6} {'p50':>6} {'p99':>6} {'p99.9':>6} "
+        f"{'in time':>8} {'served':>7} {'share':>6} {'floor':>6} {'not run':>8} "
+        f"{'unknown':>8}"
+    )
+
+
+def user_case(name: str) -> str:
+    """Describe a case in a line."""
+    case = CASES[name]
+    flood = f", flood of {case.flood_rank}" if case.flood_rank else ""
+    return f"{name}: {case.load:g} of capacity{flood} (times in ms)"
+
+
+def _print_summary(policy: str, summary: Summary, user: User) -> None:
+    for rank in RANKS:
+        row = summary.ranks[rank]
+        sent = max(1, row.sent)
+        print(
+            f"{policy:16} {rank:7} {row.sent:6} {row.p50_ms:6.0f} {row.p99_ms:6.0f} "
+            f"{row.p999_ms:6.0f} {row.in_time:8.4f} {row.answered / sent:7.3f} "
+            f"{summary.shares[rank]:6.3f} {FLOORS[rank]:6.2f} "
+            f"{row.not_run / sent:8.4f} {row.unknown / sent:8.4f}"
+        )
+    total = summary.total
+    run = summary.run
+    control = run["control_bytes_per_s"]
+    bytes_text = "not measured" if control is None else f"{control:.0f} B/s"
+    print(
+        f"{'':16} {'all':7} {total.sent:6} {total.p50_ms:6.0f} {total.p99_ms:6.0f} "
+        f"{total.p999_ms:6.0f} {total.in_time:8.4f}  of capacity "
+        f"{summary.utilisation:.2f}; probes {summary.probes_per_s:.2f}/s; control "
+        f"bytes/gateway {bytes_text}; cores: gateway {run['gateway_cores']:.2f}, "
+        f"all gateways {run['gateways_cores']:.2f}, load {run['load_cores']:.2f}, "
+        f"stand-in {run['stand_in_cores']:.2f}",
+        flush=True,
+    )
+
+
+def _write(
+    plan: Plan, summaries: dict[tuple[str, str], Summary], results: list[Any]
+) -> None:
+    OUTPUT.mkdir(exist_ok=True)
+    stamp = time.strftime("%Y%m%dT%H%M%S")
+    path = OUTPUT / f"policies-{plan.user.name}-{stamp}.json"
+    data = {
+        "command": [Path(sys.argv[0]).name, *sys.argv[1:]],
+        "plan": plan._asdict() | {"user": plan.user._asdict()},
+        "runs": [
+            {"policy": policy, "case": case, **_plain(summary)}
+            for (policy, case), summary in summaries.items()
+        ],
+        "targets": [verdict._asdict() for verdict in results],
+    }
+    path.write_text(json.dumps(data, indent=1), encoding="utf-8")
+    print(f"written to {path}")
+
+
+def _plain(value: Any) -> Any:
+    """Turn named tuples into objects and endless values into null."""
+    if hasattr(value, "_asdict"):
+        value = value._asdict()
+    if isinstance(value, dict):
+        return {key: _plain(item) for key, item in value.items()}
+    if isinstance(value, float) and not math.isfinite(value):
+        return None
+    return value
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -104,6 +104,10 @@
     def session(self) -> aiohttp.ClientSession:
         return self._session
 
+    @property
+    def stand_in_pids(self) -> list[int]:
+        return [helper.pid for helper in self._helpers]
+
     async def start_platform(self) -> None:
         """Start the platform stand-in without any value."""
         self._session = aiohttp.ClientSession()
@@ -114,7 +118,8 @@
         """Start one stand-in process for each group."""
         for group in groups:
             answer = await self._start_stand_in("upstream", group._asdict())
-            self.upstreams[group.service] = answer["addresses"]
+            # Several groups of one service share its load over several processes.
+            self.upstreams.setdefault(group.service, []).extend(answer["addresses"])
 
     async def publish(self, text: str, key: str = CONFIGURATION_KEY) -> int:
         """Publish a text on the platform and return the platform's index."""
