--- a/src/dogwoodshed/_internal/commands/__init__.py
+++ b/src/dogwoodshed/_internal/commands/__init__.py
@@ -2,7 +2,7 @@
 
 import importlib
 
-_MODULES = ("check", "drain", "gateway", "report", "status")
+_MODULES = ("check", "demo", "drain", "gateway", "report", "status")
 
 
 def load() -> None:
