Follow the host list and spread drains among gateways

The host list (key `hosts`, plug-in kind `discovery`) now names gateways and the upstreams of services with `discover`. Its revision only rises; an empty, malformed or older list changes nothing, and gateways pass it on like the configuration text, so that a gateway that starts during an outage has it.

The list lags, and only gateways with traffic see a load report, so `drains` tells all peers what the first gateway learns. Host list, load reports and operators are kept apart: none ends the drain of another, and only an answer to a later call ends a reported drain. New connections get the present drains.

A text nested too deeply, or with a number of thousands of digits, ended the process that read it; both are rejected now. The fleet stand-in took ports from the range of outgoing connections, which made one run fail with "address already in use"; it now takes them from below that range.

--- a/src/dogwoodshed/_internal/configuration/distribution.py
+++ b/src/dogwoodshed/_internal/configuration/distribution.py
@@ -3,11 +3,11 @@
 import asyncio
 import random
 from collections.abc import Awaitable
-from typing import Protocol
 
 from absl import logging
 
 from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.configuration.replica import Replica
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.exceptions import MeshError
 from dogwoodshed._internal.membership import Membership
@@ -24,34 +24,13 @@
 RECHECK_S = 0.25
 
 
-class Replica(Protocol):
-    """A published text whose revision only rises."""
-
-    key: str
-
-    @property
-    def revision(self) -> int:
-        """Return the revision in force, 0 without one."""
-
-    @property
-    def seen_revision(self) -> int:
-        """Return the highest revision that was in force or rejected."""
-
-    @property
-    def text(self) -> str:
-        """Return the text in force."""
-
-    def offer(self, text: str, revision: int, source: str) -> bool:
-        """Accept a text if its revision is higher and it is valid."""
-
-
 class Distribution:
     """Fetch newer texts from peers and give them to peers that are behind."""
 
     def __init__(
         self,
         store: ConfigurationStore,
-        hosts: Replica | None,
+        hosts: Replica,
         mesh: Mesh,
         membership: Membership,
         clock: Clock,
@@ -61,10 +40,8 @@
         seed: int | None = None,
     ) -> None:
         self._store = store
-        self._replicas: dict[str, Replica] = {store.key: store}
-        if hosts is not None:
-            self._replicas[hosts.key] = hosts
         self._hosts = hosts
+        self._replicas: dict[str, Replica] = {store.key: store, hosts.key: hosts}
         self._mesh = mesh
         self._membership = membership
         self._clock = clock
@@ -82,7 +59,7 @@
             mesh.subscribe(TextRequest, self._give)
 
     async def join(self, timeout: float) -> None:
-        """Wait for a text that is no older than what any peer that answers has.
+        """Wait for texts that are no older than those of any peer that answers.
 
         Peers that do not answer are waited for until the timeout, so that a stale
         platform cannot bring back an old revision at a restart.
@@ -101,8 +78,11 @@
         if self._store.current is None:
             return False
         views = self._membership.views if self._enabled else {}
-        seen = self._store.seen_revision
-        if any(view.heartbeat.revision > seen for view in views.values()):
+        if any(
+            self._is_behind(replica, view.heartbeat)
+            for replica in self._replicas.values()
+            for view in views.values()
+        ):
             return False
         # Nothing listens at an address that refuses, so nobody there has a text.
         asked = self._heard | self._membership.refused
--- a/src/dogwoodshed/_internal/configuration/document.py
+++ b/src/dogwoodshed/_internal/configuration/document.py
@@ -39,6 +39,9 @@
         value = jsonc.loads(text)
     except jsonc.JSONDecodeError as error:
         raise DocumentSyntaxError(source, error.lineno, error.msg) from error
+    except (ValueError, RecursionError) as error:
+        # Numbers of thousands of digits and nesting beyond the parser's depth.
+        raise DocumentSyntaxError(source, 1, str(error)) from error
     return Document(source, text, value)
 
 
--- a/src/dogwoodshed/_internal/configuration/model.py
+++ b/src/dogwoodshed/_internal/configuration/model.py
@@ -1,5 +1,6 @@
 """Model an accepted configuration text."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 
@@ -85,6 +86,18 @@
                 best = service
         return best
 
+    def with_discovered(
+        self, upstreams: Mapping[str, tuple[Upstream, ...]]
+    ) -> "Configuration":
+        """Return a copy with the upstreams of services that use `discover`."""
+        services = tuple(
+            service._replace(upstreams=upstreams.get(service.discover, ()))
+            if service.discover
+            else service
+            for service in self.services
+        )
+        return self._replace(services=services)
+
     def service(self, name: str) -> Service:
         """Return the service with this name; raises KeyError."""
         for service in self.services:
--- a/src/dogwoodshed/_internal/configuration/store.py
+++ b/src/dogwoodshed/_internal/configuration/store.py
@@ -1,10 +1,10 @@
 """Hold the configuration in force and let its revision only rise."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from absl import logging
 
-from dogwoodshed._internal.configuration.model import Configuration
+from dogwoodshed._internal.configuration.model import Configuration, Upstream
 from dogwoodshed._internal.configuration.schema import load_configuration
 from dogwoodshed._internal.exceptions import ConfigurationError
 from dogwoodshed._internal.metrics import Metrics
@@ -19,7 +19,10 @@
 
     def __init__(self, metrics: Metrics) -> None:
         self._metrics = metrics
+        # As accepted, without the upstreams that the host list names.
+        self._accepted: Configuration | None = None
         self._current: Configuration | None = None
+        self._discovered: dict[str, tuple[Upstream, ...]] = {}
         self._text = ""
         self._rejected_revision = 0
         self._rejection: ConfigurationError | None = None
@@ -59,15 +62,29 @@
         except ConfigurationError as error:
             self._reject(revision, error)
             return False
-        self._current = configuration
+        self._accepted = configuration
         self._text = text
         self._rejection = None
         self._metrics.increment("configuration.accepted")
         self._metrics.gauge("configuration.revision", revision)
         logging.info("configuration revision %d in force, from %s", revision, source)
+        self._fill()
+        return True
+
+    def apply_discovered(self, upstreams: Mapping[str, tuple[Upstream, ...]]) -> None:
+        """Use the listed upstreams; a name without any keeps those it had."""
+        self._discovered.update(upstreams)
+        self._fill()
+
+    def _fill(self) -> None:
+        if self._accepted is None:
+            return
+        configuration = self._accepted.with_discovered(self._discovered)
+        if configuration == self._current:
+            return
+        self._current = configuration
         for listener in self._listeners:
             listener(configuration)
-        return True
 
     def _count_ignored(self, text: str, revision: int) -> None:
         if revision < self.revision:
--- /dev/null
+++ b/src/dogwoodshed/_internal/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Learn from the platform which hosts are live or leaving."""
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -5,10 +5,12 @@
 from absl import logging
 from mode import Service
 
-from dogwoodshed._internal import plugins, registry
+from dogwoodshed._internal import drains, plugins, registry
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration import distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.discovery.host_list import HostList
+from dogwoodshed._internal.discovery.store import HostListStore
 from dogwoodshed._internal.membership import (
     STATE_JOINING,
     STATE_LEAVING,
@@ -26,6 +28,7 @@
 from dogwoodshed._internal.settings import Settings, split_address
 
 METRICS_FLUSH_S = 1.0
+FEATURE_DISCOVERY = "discovery"
 
 
 class _CountingRecorder:
@@ -59,13 +62,28 @@
         )
         self._state = STATE_JOINING
         self._router = self._create_router()
+        self._drains = drains.Drains(
+            self._router.set_draining,
+            self._mesh,
+            self._clock,
+            self._metrics,
+            enabled=settings.enabled(drains.FEATURE),
+        )
         self._store.subscribe(self._router.apply_configuration)
+        self._store.subscribe(self._drains.apply_configuration)
         self._membership.subscribe(self._router.apply_members)
+        self._hosts = HostListStore(
+            registry.lookup(registry.DISCOVERY, settings.platform.discovery),
+            self._metrics,
+        )
+        self._hosts.subscribe(self._apply_host_list)
         platform = registry.lookup(registry.PLATFORM, settings.platform.adapter)
         self._watcher = PlatformWatcher(
             platform(settings.platform.address),
             settings.platform,
-            self._store,
+            (self._store, self._hosts)
+            if settings.enabled(FEATURE_DISCOVERY)
+            else (self._store,),
             budget.PlatformPace(
                 settings.platform,
                 lambda: len(self._membership.members.listed),
@@ -76,7 +94,7 @@
         )
         self._distribution = distribution.Distribution(
             self._store,
-            None,
+            self._hosts,
             self._mesh,
             self._membership,
             self._clock,
@@ -101,9 +119,18 @@
         current = self._store.current
         digest = current.digest if current else ""
         return HeartbeatState(
-            self._state, self._store.revision, digest, self._router.loads()
+            self._state,
+            self._store.revision,
+            digest,
+            self._router.loads(),
+            self._hosts.revision,
         )
 
+    def _apply_host_list(self, hosts: HostList, revision: int) -> None:
+        self._membership.apply_host_list(hosts.gateways)
+        self._store.apply_discovered(hosts.upstreams)
+        self._drains.apply_host_list(hosts, revision)
+
     @classmethod
     def from_settings(cls, settings: Settings) -> "Gateway":
         """Create a gateway."""
@@ -119,7 +146,7 @@
         fleet_size = len(settings.mesh.peers) + 1
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
         self._relay = Relay(
-            self._router,
+            drains.DrainObservingRouter(self._router, self._drains, self._clock),
             self._pools,
             registry.lookup(registry.LOAD_REPORT, "orca"),
             self._clock,
--- a/src/dogwoodshed/_internal/membership.py
+++ b/src/dogwoodshed/_internal/membership.py
@@ -102,7 +102,9 @@
         return entry.address if entry else None
 
     def apply_host_list(self, entries: tuple[GatewayEntry, ...]) -> None:
-        """Use the gateways that the platform lists."""
+        """Use the gateways that the platform lists; ignore a list without any."""
+        if not entries:
+            return
         self._host_list = {entry.id: entry for entry in entries}
         self._update()
 
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -95,8 +95,10 @@
 
     address: str
     draining: bool
-    # Orders changes of one upstream; wall-clock milliseconds of the first observer.
+    # Orders the changes that one source tells of an upstream: the revision of the host
+    # list, else wall-clock milliseconds of the first observer.
     version: int
+    source: str = "report"
 
 
 class Claim(NamedTuple):
--- a/src/dogwoodshed/_internal/platform/watcher.py
+++ b/src/dogwoodshed/_internal/platform/watcher.py
@@ -1,20 +1,20 @@
 """Follow the platform within a budget of calls."""
 
+from collections.abc import Sequence
+
 from absl import logging
 from mode import Service
 
-from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.configuration.replica import Replica
 from dogwoodshed._internal.exceptions import PlatformError
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.platform.base import Platform, Snapshot
 from dogwoodshed._internal.platform.budget import PlatformPace
 from dogwoodshed._internal.settings import PlatformSettings
 
-CONFIGURATION_KEY = "configuration"
-
 
 class PlatformWatcher(Service):
-    """Keep one watch open and offer what it brings to the store."""
+    """Keep one watch open and offer what it brings to the replicas."""
 
     mundane_level = "debug"
 
@@ -22,14 +22,14 @@
         self,
         platform: Platform,
         settings: PlatformSettings,
-        store: ConfigurationStore,
+        replicas: Sequence[Replica],
         pace: PlatformPace,
         metrics: Metrics,
     ) -> None:
         super().__init__()
         self._platform = platform
         self._settings = settings
-        self._store = store
+        self._replicas = tuple(replicas)
         self._pace = pace
         self._metrics = metrics
         self._reachable = True
@@ -68,9 +68,10 @@
         )
 
     def _offer(self, snapshot: Snapshot) -> None:
-        value = snapshot.values.get(self._settings.prefix + CONFIGURATION_KEY)
-        if value is not None:
-            self._store.offer(value.text, value.revision, "platform")
+        for replica in self._replicas:
+            value = snapshot.values.get(self._settings.prefix + replica.key)
+            if value is not None:
+                replica.offer(value.text, value.revision, "platform")
 
     def _note_reachable(self, reachable: bool, error: PlatformError | None) -> None:
         if reachable != self._reachable:
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -26,6 +26,7 @@
     """How to reach the platform's configuration service."""
 
     adapter: str = "consul"
+    discovery: str = "host_list"
     address: _Address = "127.0.0.1:8500"
     prefix: str = "dogwoodshed/"
     # 2,000 calls a second over all readers, shared by 19 hosts with ample reserve; in
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -19,6 +20,9 @@
 HOSTS_KEY = "dogwoodshed/hosts"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+# Below the ports that the system gives to outgoing connections, which would take a port
+# between the moment it is chosen and the moment a gateway listens on it.
+PORTS = range(12_000, 32_000)
 
 
 class UpstreamGroup(NamedTuple):
@@ -285,11 +289,14 @@
 
 def free_ports(count: int) -> list[int]:
     """Return ports on loopback that are free at this moment."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for opened in sockets:
-            opened.bind(("127.0.0.1", 0))
-        return [opened.getsockname()[1] for opened in sockets]
-    finally:
-        for opened in sockets:
-            opened.close()
+    ports: list[int] = []
+    candidates = iter(random.sample(PORTS, len(PORTS)))
+    while len(ports) < count:
+        port = next(candidates)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
--- a/tests/lib/running_fleet.py
+++ b/tests/lib/running_fleet.py
@@ -2,16 +2,23 @@
 
 import asyncio
 import json
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any
 
 import aiohttp
 
-from dogwoodshed._internal.standins.fleet import Fleet, GatewayProcess, UpstreamGroup
+from dogwoodshed._internal.standins.fleet import (
+    HOSTS_KEY,
+    Fleet,
+    GatewayProcess,
+    UpstreamGroup,
+)
 from tests.lib import builders
 
 POLL_S = 0.02
 SERVICE = "profiles"
+# Apart from the service under test, so that watching the texts gives it no work.
+TEXT_SERVICE = "texts"
 
 
 class RunningFleet:
@@ -21,8 +28,10 @@
         self._runner = asyncio.Runner()
         self._watchers: list[asyncio.Task[None]] = []
         self.features = features
+        self.routing = "round_robin"
         self.fleet = Fleet()
         self.texts = 0
+        self.discover = False
         # The newest text seen in use, by gateway; it stays over restarts.
         self.newest: dict[str, int] = {}
         # Calls served by an older text than one seen before on that gateway.
@@ -34,8 +43,10 @@
 
         A scenario must fail when the mechanism that it tests is switched off.
         """
-        names = context.config.userdata.get("off", "").split(",")
+        userdata = context.config.userdata
+        names = userdata.get("off", "").split(",")
         running = cls({name: False for name in names if name})
+        running.routing = userdata.get("routing", running.routing)
         context.add_cleanup(running.close)
         return running
 
@@ -50,17 +61,26 @@
         self.run(self.fleet.stop())
         self._runner.close()
 
-    async def start(self, count: int, upstreams: int = 2, **settings: Any) -> None:
+    async def start(self, count: int, *, upstreams: int = 2, **settings: Any) -> None:
         """Start platform, upstreams and gateways with text 1 in force."""
+        await self.start_stand_ins(upstreams=upstreams)
+        await self.start_gateways(count, **settings)
+
+    async def start_stand_ins(self, *, upstreams: int, discover: bool = False) -> None:
+        """Start platform and upstreams and publish text 1."""
+        self.discover = discover
         await self.fleet.start_platform()
-        group = UpstreamGroup(SERVICE, upstreams, {"mean_ms": 2.0})
-        await self.fleet.start_upstreams([group])
+        await self.fleet.start_upstreams(
+            [
+                UpstreamGroup(SERVICE, upstreams, {"mean_ms": 2.0}),
+                UpstreamGroup(TEXT_SERVICE, 1, {"mean_ms": 2.0}),
+            ]
+        )
         await self.publish()
-        await self.start_gateways(count, **settings)
 
     async def start_gateways(self, count: int, **settings: Any) -> None:
         """Start the gateways and watch the texts that they serve by."""
-        settings = {"routing": "round_robin", "features": self.features, **settings}
+        settings = {"routing": self.routing, "features": self.features, **settings}
         await self.fleet.start_gateways(count, **settings)
         for gateway in self.fleet.gateways:
             self.newest[gateway.id] = 0
@@ -70,12 +90,46 @@
         """Publish the next text, which adds the service `text-N`."""
         self.texts += 1
         addresses = tuple(self.fleet.upstreams[SERVICE])
+        if self.discover:
+            changes = {"upstreams": [], "discover": SERVICE, **changes}
         text = builders.configuration_text(
             builders.service_text(SERVICE, addresses, **changes),
-            builders.service_text(f"text-{self.texts}", addresses),
+            builders.service_text(
+                f"text-{self.texts}", tuple(self.fleet.upstreams[TEXT_SERVICE])
+            ),
         )
         return await self.fleet.publish(json.dumps(text))
 
+    async def publish_hosts(self, **states: str) -> None:
+        """Publish a host list with some upstreams in the states given by number."""
+        upstreams = [
+            {
+                "address": address,
+                "service": SERVICE,
+                "data_centre": "dc-1",
+                "state": states.get(f"upstream_{number}", "live"),
+            }
+            for number, address in enumerate(self.fleet.upstreams[SERVICE])
+            if states.get(f"upstream_{number}") != "missing"
+        ]
+        await self.fleet.publish(json.dumps({"upstreams": upstreams}), HOSTS_KEY)
+
+    async def served(self, number: int) -> int:
+        """Return how many calls an upstream has received."""
+        address = self.fleet.upstreams[SERVICE][number]
+        state = await self.fleet.control_upstream(address)
+        return state["counts"].get("requests", 0)
+
+    async def call_each(
+        self, gateways: Sequence[GatewayProcess], calls: int
+    ) -> list[int]:
+        """Send calls to gateways one after the other and return the statuses."""
+        return [
+            await self.call(gateway, SERVICE)
+            for gateway in gateways
+            for _ in range(calls)
+        ]
+
     async def wait_for(
         self, condition: Callable[[], bool | Awaitable[bool]], bound: float
     ) -> bool:
--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -6,6 +6,8 @@
 
 from dogwoodshed._internal.configuration.distribution import Distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.discovery.host_list import read_host_list
+from dogwoodshed._internal.discovery.store import HostListStore
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.mesh.messages import TextReply, TextRequest
 from dogwoodshed._internal.metrics import Metrics
@@ -27,11 +29,12 @@
         self.clock = ManualClock()
         self.metrics = Metrics()
         self.store = ConfigurationStore(self.metrics)
+        self.hosts = HostListStore(read_host_list, self.metrics)
         self.membership = Membership(gateway_settings(), self.clock)
         self.mesh = FakeMesh(self.membership)
         self.distribution = Distribution(
             self.store,
-            None,
+            self.hosts,
             self.mesh,
             self.membership,
             self.clock,
--- a/tests/unit/test_schema.py
+++ b/tests/unit/test_schema.py
@@ -4,7 +4,7 @@
 import unittest
 
 from dogwoodshed._internal.configuration.schema import load_configuration
-from dogwoodshed._internal.exceptions import InvalidTextError
+from dogwoodshed._internal.exceptions import ConfigurationError, InvalidTextError
 from tests.lib import builders
 
 
@@ -21,6 +21,12 @@
         line = text.splitlines()[faults["colour"].line - 1]
         self.assertIn("colour", line)
 
+    def test_rejects_what_the_parser_cannot_hold(self):
+        """Guards against a text that ends every gateway process at once."""
+        for text in ("[" * 100_000, '{"a":' * 50_000, "1" * 5000):
+            with self.assertRaises(ConfigurationError):
+                load_configuration(text, 1, "text.jsonc")
+
     def test_finds_a_dependency_cycle(self):
         """Guards against a cycle that would make a report of causes endless."""
         first = builders.service_text("first", depends_on=["second"])
