--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -5,7 +5,7 @@
 from absl import logging
 from mode import Service
 
-from dogwoodshed._internal import plugins, registry
+from dogwoodshed._internal import drains, plugins, registry
 from dogwoodshed._internal.administration.api import (
     AdministrationActions,
     AdministrationApi,
@@ -14,6 +14,8 @@
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration import distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.discovery.host_list import HostList
+from dogwoodshed._internal.discovery.store import HostListStore
 from dogwoodshed._internal.exceptions import UnknownUpstreamError
 from dogwoodshed._internal.idempotency.service import Idempotency
 from dogwoodshed._internal.membership import (
@@ -26,7 +28,7 @@
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.platform import budget
 from dogwoodshed._internal.platform.watcher import PlatformWatcher
-from dogwoodshed._internal.probing.prober import Prober
+from dogwoodshed._internal.probing import prober
 from dogwoodshed._internal.proxy.attempts import Sender
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.relay import Relay
@@ -35,10 +37,16 @@
 from dogwoodshed._internal.reporting.page import Page, build_page
 from dogwoodshed._internal.retries.hedges import HedgePolicy
 from dogwoodshed._internal.retries.policy import RetryPolicy
-from dogwoodshed._internal.routing.base import Router, RouterContext
+from dogwoodshed._internal.routing.base import (
+    Outcome,
+    ProbeDuty,
+    Router,
+    RouterContext,
+)
 from dogwoodshed._internal.settings import Settings, split_address
 
 METRICS_FLUSH_S = 1.0
+FEATURE_DISCOVERY = "discovery"
 
 
 class _CountingRecorder:
@@ -74,13 +82,28 @@
         )
         self._state = STATE_JOINING
         self._router = self._create_router()
+        self._drains = drains.Drains(
+            self._router.set_draining,
+            self._mesh,
+            self._clock,
+            self._metrics,
+            enabled=settings.enabled(drains.FEATURE),
+        )
         self._store.subscribe(self._router.apply_configuration)
+        self._store.subscribe(self._drains.apply_configuration)
         self._membership.subscribe(self._router.apply_members)
+        self._hosts = HostListStore(
+            registry.lookup(registry.DISCOVERY, settings.platform.discovery),
+            self._metrics,
+        )
+        self._hosts.subscribe(self._apply_host_list)
         platform = registry.lookup(registry.PLATFORM, settings.platform.adapter)
         self._watcher = PlatformWatcher(
             platform(settings.platform.address),
             settings.platform,
-            self._store,
+            (self._store, self._hosts)
+            if settings.enabled(FEATURE_DISCOVERY)
+            else (self._store,),
             budget.PlatformPace(
                 settings.platform,
                 lambda: len(self._membership.members.listed),
@@ -91,7 +114,7 @@
         )
         self._distribution = distribution.Distribution(
             self._store,
-            None,
+            self._hosts,
             self._mesh,
             self._membership,
             self._clock,
@@ -99,10 +122,11 @@
             enabled=settings.enabled(distribution.FEATURE),
         )
         self._read_report = registry.lookup(registry.LOAD_REPORT, "orca")
-        self._prober = Prober(
+        self._prober = prober.Prober(
             self._router,
             self._membership,
             self._read_report,
+            self._note_probe,
             self._clock,
             self._metrics,
         )
@@ -155,7 +179,14 @@
         services = configuration.services if configuration else ()
         if not any(u.address == address for s in services for u in s.upstreams):
             raise UnknownUpstreamError(f"no service lists the upstream {address}")
-        self._router.set_draining(address, draining)
+        self._drains.order(address, draining)
+
+    def _note_probe(self, duty: ProbeDuty, outcome: Outcome) -> None:
+        self._router.note_probe(duty, outcome)
+        self._summaries.recorder.count_probe(duty.service)
+        if outcome.report is not None:
+            sent_at = self._clock.monotonic() - outcome.elapsed
+            self._drains.note_report(duty.address, outcome.report, sent_at)
 
     async def _report(self) -> Page | None:
         if self._store.current is None:
@@ -171,9 +202,18 @@
         current = self._store.current
         digest = current.digest if current else ""
         return HeartbeatState(
-            self._state, self._store.revision, digest, self._router.loads()
+            self._state,
+            self._store.revision,
+            digest,
+            self._router.loads(),
+            self._hosts.revision,
         )
 
+    def _apply_host_list(self, hosts: HostList, revision: int) -> None:
+        self._membership.apply_host_list(hosts.gateways)
+        self._store.apply_discovered(hosts.upstreams)
+        self._drains.apply_host_list(hosts, revision)
+
     @classmethod
     def from_settings(cls, settings: Settings) -> "Gateway":
         """Create a gateway."""
@@ -188,15 +228,16 @@
         settings = self._settings
         fleet_size = len(settings.mesh.peers) + 1
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
+        router = drains.DrainObservingRouter(self._router, self._drains, self._clock)
         sender = Sender(
-            self._router,
+            router,
             self._pools,
             self._read_report,
             self._clock,
             self._metrics,
         )
         self._relay = Relay(
-            self._router,
+            router,
             sender,
             RetryPolicy.from_settings(settings),
             HedgePolicy.from_settings(settings),
@@ -220,7 +261,8 @@
         await self.add_runtime_dependency(self._summaries)
         await self.add_runtime_dependency(self._administration)
         await self.add_runtime_dependency(self._watcher)
-        await self.add_runtime_dependency(self._prober)
+        if settings.enabled(prober.FEATURE):
+            await self.add_runtime_dependency(self._prober)
 
     async def on_started(self) -> None:
         """Serve once a configuration is in force that no peer knows to be old."""
--- a/src/dogwoodshed/_internal/membership.py
+++ b/src/dogwoodshed/_internal/membership.py
@@ -110,7 +110,9 @@
         return entry.data_centre if entry else ""
 
     def apply_host_list(self, entries: tuple[GatewayEntry, ...]) -> None:
-        """Use the gateways that the platform lists."""
+        """Use the gateways that the platform lists; ignore a list without any."""
+        if not entries:
+            return
         self._host_list = {entry.id: entry for entry in entries}
         self._update()
 
--- a/src/dogwoodshed/_internal/probing/prober.py
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -1,6 +1,7 @@
 """Probe the upstreams that nobody has heard from."""
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 import aiohttp
@@ -18,6 +19,8 @@
     Router,
 )
 
+FEATURE = "probing"
+
 TICK_S = 0.1
 PROBE_TIMEOUT_S = 1.0
 # While the owner of an upstream changes, two gateways may probe it for a moment.
@@ -41,6 +44,7 @@
         router: Router,
         membership: Membership,
         read_report: LoadReportReader,
+        on_probe: Callable[[ProbeDuty, Outcome], None],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -48,6 +52,7 @@
         self._router = router
         self._membership = membership
         self._read_report = read_report
+        self._on_probe = on_probe
         self._clock = clock
         self._metrics = metrics
         self._schedules: dict[str, _Schedule] = {}
@@ -101,7 +106,7 @@
         elapsed = self._clock.monotonic() - started
         if status is not OutcomeStatus.ANSWERED:
             self._metrics.increment("probes.failed")
-        self._router.note_probe(duty, Outcome(status, elapsed, report))
+        self._on_probe(duty, Outcome(status, elapsed, report))
 
     async def _ask(self, duty: ProbeDuty) -> tuple[OutcomeStatus, LoadReport | None]:
         url = f"http://{duty.address}{duty.path}"
--- a/tests/unit/test_prober.py
+++ b/tests/unit/test_prober.py
@@ -37,6 +37,7 @@
         router or FakeRouter(),
         FakeMembership(live[0], live),
         lambda _: None,
+        lambda duty, outcome: None,
         builders.FakeClock(),
         Metrics(),
     )
