Check what callers are told against what upstreams ran

Cause: nothing compared the 'ran' field with the upstreams' run counts under refusals, resets before and after a run, late answers, missing listeners and a stopping gateway.

--- a/src/dogwoodshed/_internal/standins/upstream.py
+++ b/src/dogwoodshed/_internal/standins/upstream.py
@@ -42,6 +42,9 @@
     answer_bytes: int
     # Cuts the connection after this share of the answer.
     cut_answer_at: float
+    # Shares of requests whose connection is reset before or after they run.
+    reset_before_run: float
+    reset_after_run: float
     # Calls this URL for each request and fails if that fails.
     calls: str
 
@@ -152,6 +155,9 @@
             return web.Response(
                 status=503, headers={NOT_RUN_HEADER: "1", **self._load_headers()}
             )
+        if self._random.random() < self._behaviour.get("reset_before_run", 0.0):
+            request.transport.abort()
+            return web.Response()
         if self._behaviour.get("fail_fast"):
             self._counts["failed"] += 1
             return web.Response(status=500, headers=self._load_headers())
@@ -167,6 +173,9 @@
             self._finished[identity] += 1
         finally:
             self._leave()
+        if self._random.random() < self._behaviour.get("reset_after_run", 0.0):
+            request.transport.abort()
+            return web.Response()
         return await self._answer(request, identity, body)
 
     async def _answer(
--- /dev/null
+++ b/tests/features/steps/truth_steps.py
@@ -0,0 +1,102 @@
+"""Steps on what callers are told and what upstreams ran."""
+
+import asyncio
+import signal
+
+from behave import given, then, when
+
+from dogwoodshed._internal.standins.fleet import free_ports
+from tests.lib.world import World
+
+STOP_AFTER_S = 1.5
+
+
+@given("{gateways:d} gateways before {count:d} upstreams that answer in {mean:g} ms")
+def start_fleet(context, gateways, count, mean):
+    world = context.world = World.from_context(context)
+    world.run(world.start(gateways, count, {"slots": 50, "mean_ms": mean}))
+
+
+@given("the upstreams are in trouble: {trouble}")
+def make_trouble(context, trouble):
+    world = context.world
+    addresses = world.fleet.upstreams["profiles"]
+    changes = {
+        "refusals everywhere": [{"shed": True}] * 3,
+        "refusals at two of three": [{"shed": True}] * 2 + [{}],
+        "resets before the run": [{"reset_before_run": 0.3}] * 3,
+        "resets after the run": [{"reset_after_run": 0.3}] * 3,
+        "resets after the run, then refusals": [
+            {"reset_after_run": 1.0},
+            {"shed": True},
+            {"shed": True},
+        ],
+        "answers after the deadline": [{"mean_ms": 4000, "distribution": "fixed"}] * 3,
+        "no listener at two of five": [{}] * 3,
+    }[trouble]
+    if trouble.startswith("no listener"):
+        dead = [f"127.0.0.1:{port}" for port in free_ports(2)]
+        world.run(world.publish(dead))
+    for address, change in zip(addresses, changes, strict=True):
+        world.run(world.fleet.control_upstream(address, change))
+
+
+@when(
+    "callers read and write {rate:d} times a second each for {seconds:d} seconds "
+    "with seed {seed:d}"
+)
+def send_load(context, rate, seconds, seed):
+    world = context.world
+    world.flow("read", "GET", rate)
+    world.flow("write", "POST", rate)
+    world.run(world.load(seconds, seed))
+
+
+@when(
+    "callers read and write {rate:d} times a second each for {seconds:d} seconds "
+    "with seed {seed:d} while a gateway stops"
+)
+def send_load_while_stopping(context, rate, seconds, seed):
+    world = context.world
+    world.flow("read", "GET", rate)
+    world.flow("write", "POST", rate)
+
+    async def stop() -> None:
+        # The moment of the stop within the load; nothing waits for it.
+        await asyncio.sleep(STOP_AFTER_S)
+        world.fleet.gateways[0].send_signal(signal.SIGTERM)
+
+    async def both() -> None:
+        await asyncio.gather(world.load(seconds, seed), stop())
+
+    world.run(both())
+
+
+@then("no call that was told to be not run was run")
+def compare_truth(context):
+    world = context.world
+    world.run(world.settle())
+    context.runs = world.run(world.runs())
+    result = world.tally(context.runs)
+    assert result.false_not_run == 0 and result.lost == 0, result
+    assert result.mixed_up == 0, result
+
+
+@then("no write was run twice")
+def compare_writes(context):
+    result = context.world.tally(context.runs)
+    assert result.doubled == 0, result
+
+
+@then('every caller was told one outcome, at least {count:d} of them "no"')
+def compare_told(context, count):
+    result = context.world.tally(context.runs)
+    told = result.answered + result.not_run + result.unknown
+    assert told == result.sent and result.sent > 0, result
+    assert result.not_run >= count, result
+
+
+@then('at least {count:d} callers were told "unknown"')
+def compare_unknown(context, count):
+    result = context.world.tally(context.runs)
+    assert result.unknown >= count, result
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -63,20 +63,20 @@
         await self.fleet.start_upstreams(
             [UpstreamGroup(name, upstreams, behaviour, 1) for name in names]
         )
-        texts = [
-            builders.service_text(
-                name,
-                tuple(self.fleet.upstreams[name]),
-                kinds=self.kinds(name),
-            )
-            for name in names
-        ]
-        await self.fleet.publish(json.dumps(builders.configuration_text(*texts)))
+        await self.publish()
         await self.fleet.start_gateways(
             gateways,
             **{"routing": "least_in_flight", "features": self.features, **settings},
         )
 
+    async def publish(self, extra: Iterable[str] = ()) -> None:
+        """Publish the services, with extra upstream addresses for each."""
+        texts = [
+            builders.service_text(name, (*addresses, *extra), kinds=self.kinds(name))
+            for name, addresses in self.fleet.upstreams.items()
+        ]
+        await self.fleet.publish(json.dumps(builders.configuration_text(*texts)))
+
     def kinds(self, name: str) -> list[dict]:
         """Return a read and a write with a deadline of 2 seconds."""
         limit = {"time_limit_ms": 500, "deadline_ms": 2000, "path": f"/{name}"}
@@ -115,6 +115,15 @@
         for address in self.fleet.upstreams[service]:
             await self.fleet.control_upstream(address, behaviour)
 
+    async def settle(self, service: str = "profiles") -> None:
+        """Wait until no upstream holds a call any more."""
+        async with asyncio.timeout(SETTLE_BOUND_S):
+            while any(
+                state["running"] or state["waiting"]
+                for state in await self.fleet.upstream_states(service)
+            ):
+                await asyncio.sleep(0.05)
+
     def tally(self, runs: dict[str, int]) -> Tally:
         """Compare the results with the runs; writes may run once."""
         once = frozenset(flow.name for flow in self.flows if flow.method == "POST")
