Finish every request before a planned stop closes its connection

Cause: the library's close() of an idle connection ends its task but leaves the socket open, so a stopping gateway did not end within 20 s.

--- a/src/dogwoodshed/_internal/proxy/callers.py
+++ b/src/dogwoodshed/_internal/proxy/callers.py
@@ -51,4 +51,4 @@
         """Close the connections that wait for a request."""
         for connection in self.connections:
             if connection.idle:
-                connection.close()
+                connection.force_close()
--- a/src/dogwoodshed/_internal/standins/caller.py
+++ b/src/dogwoodshed/_internal/standins/caller.py
@@ -77,6 +77,7 @@
         self._tries = tries
         self._results: list[CallResult] = []
         self._sent = 0
+        self._stopped = False
 
     @property
     def results(self) -> list[CallResult]:
@@ -86,6 +87,10 @@
     def sent(self) -> int:
         return self._sent
 
+    def stop(self) -> None:
+        """Send no further planned call."""
+        self._stopped = True
+
     async def run(
         self,
         flows: Sequence[Flow],
@@ -110,6 +115,8 @@
                 delay = started + arrival.at - loop.time()
                 if delay > 0:
                     await asyncio.sleep(delay)
+                if self._stopped:
+                    break
                 tasks.append(asyncio.ensure_future(self._call(session, arrival)))
             await asyncio.gather(*tasks)
         return self._results
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -28,6 +28,8 @@
         self.features = features
         self.results: list[CallResult] = []
         self.flows: list[Flow] = []
+        self.deadline_ms = 2000
+        self._callers: Callers | None = None
 
     @classmethod
     def from_context(cls, context) -> "World":
@@ -78,8 +80,12 @@
         await self.fleet.publish(json.dumps(builders.configuration_text(*texts)))
 
     def kinds(self, name: str) -> list[dict]:
-        """Return a read and a write with a deadline of 2 seconds."""
-        limit = {"time_limit_ms": 500, "deadline_ms": 2000, "path": f"/{name}"}
+        """Return a read and a write."""
+        limit = {
+            "time_limit_ms": 500,
+            "deadline_ms": self.deadline_ms,
+            "path": f"/{name}",
+        }
         once = builders.kind_text("write", method="POST", idempotent=False, **limit)
         return [builders.kind_text(**limit), once]
 
@@ -93,9 +99,13 @@
 
     async def load(self, seconds: float, seed: int, **options: Any) -> None:
         """Send all flows and keep the results."""
-        callers = Callers([g.address for g in self.fleet.gateways], **options)
-        await callers.run(self.flows, seconds, seed)
-        self.results += callers.results
+        self._callers = Callers([g.address for g in self.fleet.gateways], **options)
+        await self._callers.run(self.flows, seconds, seed)
+        self.results += self._callers.results
+
+    def stop_load(self) -> None:
+        """Send no further call of the running load."""
+        self._callers.stop()
 
     async def runs(self, service: str = "profiles") -> dict[str, int]:
         """Return how often upstreams ran each request."""
