Replace the pool of a silent connection before calls pay for it

Cause: the progress timer of 5 s lay beyond most deadlines, so silent connections were found one by one, each by a call of its own. A hedge that wins ended attempts on silent connections before the timer saw them.

Change: an attempt is taken for silent after ten times its kind's 95th percentile, within half of the time left; three attempts given up in a row without an answer count too. The pool is then replaced, once it has brought an answer before, so that a slow upstream does not cost connections for ever. The feature silent_connections switches it off.

--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -110,6 +110,7 @@
             registry.lookup(registry.LOAD_REPORT, "orca"),
             self._clock,
             self._metrics,
+            replace_silent=settings.enabled("silent_connections"),
         )
         self._relay = Relay(
             self._router,
--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -38,6 +38,10 @@
 # known to a caller that asks again with the same key.
 NON_IDEMPOTENT_GRACE_S = 30.0
 
+# Attempts in a row that were given up without an answer on the same pool. Callers that
+# leave cause some too, but seldom several with no answer between them.
+SUSPECT_AFTER = 3
+
 _STATUS_OF_ERROR = {
     DeadlineExpiredInQueueError: OutcomeStatus.CANCELLED,
     UpstreamUnreachableError: OutcomeStatus.UNREACHABLE,
@@ -88,12 +92,15 @@
         read_report: LoadReportReader,
         clock: Clock,
         metrics: Metrics,
+        *,
+        replace_silent: bool = True,
     ) -> None:
         self._router = router
         self._pools = pools
         self._read_report = read_report
         self._clock = clock
         self._metrics = metrics
+        self._replace_silent = replace_silent
         self._loop = asyncio.get_running_loop()
 
     async def send(
@@ -129,6 +136,9 @@
         except CallError as error:
             status = _STATUS_OF_ERROR.get(type(error), OutcomeStatus.FAILED)
             raise
+        except asyncio.CancelledError:
+            self._note_given_up(pool)
+            raise
         finally:
             timer.cancel()
             if status is not None:
@@ -139,10 +149,17 @@
         if attempt.limit is not None and may_give_up():
             attempt.limit.reschedule(self._loop.time())
 
+    def _note_given_up(self, pool: UpstreamPool) -> None:
+        # A hedge ends an attempt long before its patience does, so that the attempts
+        # on silent connections would never be seen to stall.
+        pool.unanswered += 1
+        if pool.unanswered >= SUSPECT_AFTER:
+            self._suspect(pool)
+
     def _suspect(self, pool: UpstreamPool) -> None:
         self._metrics.increment("connections.silent")
         # What is silent on a new connection too is the upstream, not the connection.
-        if pool.proven:
+        if pool.proven and self._replace_silent:
             self._pools.replace(pool)
 
     async def _exchange(
@@ -167,7 +184,7 @@
                     data=request.body.payload(),
                     allow_redirects=False,
                 )
-                pool.proven = True
+                pool.note_answer()
                 return await self._read_answer(call, response, attempt)
         except aiohttp.ClientConnectorError as error:
             raise UpstreamUnreachableError(f"{address}: {error.strerror}") from error
--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -33,6 +33,8 @@
         self._retired = False
         # Set once a connection of this pool has brought an answer.
         self.proven = False
+        # Attempts given up since the last answer, such as those that lost to a hedge.
+        self.unanswered = 0
         self._session = self._open()
 
     @property
@@ -43,6 +45,11 @@
     def session(self) -> aiohttp.ClientSession:
         return self._session
 
+    def note_answer(self) -> None:
+        """Note that a connection of this pool works."""
+        self.proven = True
+        self.unanswered = 0
+
     def enter(self) -> None:
         """Count a call that uses this pool."""
         self._active += 1
--- a/src/dogwoodshed/_internal/proxy/relay.py
+++ b/src/dogwoodshed/_internal/proxy/relay.py
@@ -17,10 +17,12 @@
 
 __all__ = ["NON_IDEMPOTENT_GRACE_S", "Answer", "OutboundRequest", "Relay"]
 
-# A connection is taken for silent no sooner than this and three times the 95th
-# percentile, so that short deadlines and slow kinds do not cost connections.
+# A connection without progress is taken for silent after ten times the kind's 95th
+# percentile, within half of the time left, so that a repeat still has a chance. Slow
+# kinds get at least three times the percentile.
 MIN_PATIENCE_S = 0.1
-PATIENCE_PER_P95 = 3
+MOST_PATIENCE_PER_P95 = 10
+LEAST_PATIENCE_PER_P95 = 3
 _NONE: frozenset[str] = frozenset()
 
 
@@ -142,9 +144,7 @@
     ) -> Answer:
         started = self._clock.monotonic()
         remaining = call.deadline - started
-        p95 = self._hedges.p95(call)
-        patience = min(self._progress_timeout, remaining / 2)
-        patience = max(patience, MIN_PATIENCE_S, PATIENCE_PER_P95 * (p95 or 0.0))
+        patience = self._patience(call, remaining)
 
         def may_give_up() -> bool:
             return request.body.whole and self._retries.may_repeat(
@@ -173,6 +173,14 @@
             self._hedges.observe(call, self._clock.monotonic() - started)
         return answer
 
+    def _patience(self, call: Call, remaining: float) -> float:
+        patience = min(self._progress_timeout, remaining / 2)
+        p95 = self._hedges.p95(call)
+        if p95 is not None:
+            patience = max(patience, LEAST_PATIENCE_PER_P95 * p95)
+            patience = min(patience, MOST_PATIENCE_PER_P95 * p95)
+        return max(patience, MIN_PATIENCE_S)
+
 
 def _exclusions(call: Call, course: _Course) -> frozenset[str]:
     tried = course.tried
--- /dev/null
+++ b/tests/features/steps/silence_steps.py
@@ -0,0 +1,102 @@
+"""Steps on connections that go silent."""
+
+import asyncio
+
+from behave import given, then, when
+
+from tests.lib.world import World
+
+LEARN_S = 3
+
+
+@given(
+    "a gateway before {count:d} upstreams, with {connections:d} open connections "
+    "to each"
+)
+def start_with_connections(context, count, connections):
+    world = context.world = World.from_context(context)
+    behaviour = {"slots": 500, "mean_ms": 5.0}
+    world.run(world.start(1, count, behaviour, routing="round_robin"))
+    world.flow("read", "GET", 60)
+    world.flow("write", "POST", 60)
+    # The gateway learns how long calls take.
+    world.run(world.load(LEARN_S, 40))
+    world.flows.clear()
+    world.results.clear()
+
+    async def open_connections() -> None:
+        await world.change({"mean_ms": 300.0, "distribution": "fixed"})
+        url = f"http://{world.fleet.gateways[0].address}/profiles"
+
+        async def write() -> None:
+            async with world.fleet.session.post(url) as response:
+                assert response.status == 200, response.status
+
+        await asyncio.gather(*(write() for _ in range(count * connections)))
+        await world.change({"mean_ms": 5.0, "distribution": "exponential"})
+
+    world.run(open_connections())
+
+
+@when("the open connections to one upstream go silent")
+def silence(context):
+    world = context.world
+    context.silent = world.fleet.upstreams["profiles"][0]
+    state = world.run(world.fleet.control_upstream(context.silent, {"silent": True}))
+    context.requests_before = state["counts"]["requests"]
+
+
+@when(
+    "callers read {reads:d} times and write {writes:d} times a second for "
+    "{seconds:d} second with seed {seed:d}"
+)
+@when(
+    "callers read {reads:d} times and write {writes:d} times a second for "
+    "{seconds:d} seconds with seed {seed:d}"
+)
+def send_load(context, reads, writes, seconds, seed):
+    world = context.world
+    world.flows = []
+    world.flow(f"read-{seed}", "GET", reads)
+    world.flow(f"write-{seed}", "POST", writes)
+    world.run(world.load(seconds, seed))
+
+
+def held(context) -> int:
+    """Return how many calls arrived on silent connections."""
+    state = context.world.run(context.world.fleet.control_upstream(context.silent))
+    return state["counts"].get("held", 0)
+
+
+@when("the silence is noticed")
+def note_held(context):
+    context.held = held(context)
+    assert context.held > 0
+
+
+@then("no later call was sent on a silent connection")
+def compare_held(context):
+    later = held(context) - context.held
+    assert later == 0, (context.held, later)
+
+
+@then("every read was answered")
+def compare_reads(context):
+    reads = [r for r in context.world.results if r.flow.startswith("read")]
+    lost = [r for r in reads if not r.answered]
+    assert reads and not lost, lost
+
+
+@then('every write was answered or its caller told "unknown"')
+def compare_told_of_writes(context):
+    world = context.world
+    world.run(world.settle())
+    context.runs = world.run(world.runs())
+    writes = [r for r in world.results if r.flow.startswith("write")]
+    assert writes and all(r.answered or r.ran == "unknown" for r in writes), writes
+
+
+@then("the upstream is still in use")
+def compare_use(context):
+    state = context.world.run(context.world.fleet.control_upstream(context.silent))
+    assert state["counts"]["requests"] > context.requests_before, state["counts"]
