Measure the gateway's cost beside a bare relay

bench/cost.py loads both in turn, with the direct way to the upstream as the zero line, and prints processor time per call, calls per second and core, added p50 and p99, and resident memory.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measure the product against baselines and find its limits."""
--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,203 @@
+"""Measure what the gateway costs beside a bare relay, interleaved in one run."""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import statistics
+import sys
+from pathlib import Path
+from typing import NamedTuple
+
+from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup, free_ports
+from tests.lib import builders
+
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+REQUESTS = {
+    "read": b"GET /profiles HTTP/1.1\r\nHost: h\r\nAccept: */*\r\n\r\n",
+    "write": b"POST /profiles HTTP/1.1\r\nHost: h\r\nAccept: */*\r\n"
+    b"Content-Type: text/plain\r\nContent-Length: 5\r\n\r\nhello",
+}
+LOW_RATE = 100
+MIDDLE_RATE = 500
+PAUSE_S = 0.3
+
+
+class Target(NamedTuple):
+    """A process under load; the direct way to the upstream has no process."""
+
+    name: str
+    address: str
+    pid: int | None
+
+
+class Sample(NamedTuple):
+    """One round of load on one target."""
+
+    cpu_us: float
+    latencies_ms: list[float]
+
+
+class Load:
+    """Send requests over kept connections at random times."""
+
+    def __init__(self, address: str) -> None:
+        ip, _, port = address.rpartition(":")
+        self._ip, self._port = ip, int(port)
+        self._idle: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+
+    async def run(self, data: bytes, rate: float, seconds: float, seed: int) -> list:
+        """Return the latencies in milliseconds."""
+        source = random.Random(seed)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        at = 0.0
+        tasks = []
+        while at < seconds:
+            await asyncio.sleep(max(0.0, started + at - loop.time()))
+            tasks.append(asyncio.ensure_future(self._call(data)))
+            at += source.expovariate(rate)
+        return await asyncio.gather(*tasks)
+
+    async def _call(self, data: bytes) -> float:
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        reader, writer = (
+            self._idle.pop()
+            if self._idle
+            else await asyncio.open_connection(self._ip, self._port)
+        )
+        writer.write(data)
+        head = await reader.readuntil(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200"), head
+        length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+        await reader.readexactly(length)
+        elapsed = loop.time() - started
+        self._idle.append((reader, writer))
+        return 1000 * elapsed
+
+
+def cpu_seconds(pid: int) -> float:
+    """Return the processor time of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rsplit(")")[1]
+    user, system = fields.split()[11:13]
+    return (int(user) + int(system)) / TICKS_PER_S
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    pages = Path(f"/proc/{pid}/statm").read_text(encoding="utf-8").split()[1]
+    return int(pages) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+async def measure(
+    target: Target, load: Load, kind: str, rate: float, seconds: float, seed: int
+) -> Sample:
+    """Load one target once."""
+    before = cpu_seconds(target.pid) if target.pid else 0.0
+    latencies = await load.run(REQUESTS[kind], rate, seconds, seed)
+    used = cpu_seconds(target.pid) - before if target.pid else 0.0
+    await asyncio.sleep(PAUSE_S)
+    return Sample(1e6 * used / len(latencies), latencies)
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile of values."""
+    return sorted(values)[min(len(values) - 1, int(share * len(values)))]
+
+
+def print_results(
+    targets: list[Target], samples: dict[tuple[str, str, int], list[Sample]]
+) -> None:
+    """Print one line for each kind, rate and target."""
+    print("kind  rate target   us/call  calls/s/core  ratio  p50 added  p99 added (ms)")
+    kinds_and_rates = sorted({(kind, rate) for _, kind, rate in samples})
+    for kind, rate in kinds_and_rates:
+        rounds = {t.name: samples[t.name, kind, rate] for t in targets}
+        whole = {
+            name: [ms for sample in entries for ms in sample.latencies_ms]
+            for name, entries in rounds.items()
+        }
+        cpu = {n: statistics.median(s.cpu_us for s in e) for n, e in rounds.items()}
+        for name in ("bare", "gateway"):
+            added = [
+                percentile(whole[name], share) - percentile(whole["direct"], share)
+                for share in (0.5, 0.99)
+            ]
+            print(
+                f"{kind:5} {rate:4} {name:8} {cpu[name]:7.0f} {1e6 / cpu[name]:13.0f}"
+                f" {cpu[name] / cpu['bare']:6.2f} {added[0]:10.2f} {added[1]:10.2f}"
+            )
+    for target in targets:
+        if target.pid:
+            print(f"resident memory of {target.name}: {resident_mb(target.pid):.1f} MB")
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Start everything, measure in rounds and print."""
+    fleet = Fleet()
+    bare = None
+    try:
+        await fleet.start_platform()
+        behaviour = {"slots": 1000, "mean_ms": 0.001, "distribution": "fixed"}
+        await fleet.start_upstreams([UpstreamGroup("profiles", 1, behaviour)])
+        addresses = tuple(fleet.upstreams["profiles"])
+        service = builders.service_text(addresses=addresses, slots_per_upstream=1000)
+        await fleet.publish(json.dumps(builders.configuration_text(service)))
+        await fleet.start_gateways(1, routing=options.routing)
+        port = free_ports(1)[0]
+        bare = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "bench.bare_relay", str(port), addresses[0]
+        )
+        gateway = fleet.gateways[0]
+        targets = [
+            Target("direct", addresses[0], None),
+            Target("bare", f"127.0.0.1:{port}", bare.pid),
+            Target("gateway", gateway.address, gateway.pid),
+        ]
+        # Event: the bare relay listens once a connection opens.
+        while True:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.close()
+                break
+            except OSError:
+                await asyncio.sleep(0.02)
+        await measure_all(targets, options)
+    finally:
+        if bare is not None:
+            bare.kill()
+            await bare.wait()
+        await fleet.stop()
+
+
+async def measure_all(targets: list[Target], options: argparse.Namespace) -> None:
+    """Alternate between the targets in every round."""
+    samples: dict[tuple[str, str, int], list[Sample]] = {}
+    loads = {target.name: Load(target.address) for target in targets}
+    for number in range(options.rounds + 1):
+        for kind in REQUESTS:
+            for rate in (LOW_RATE, MIDDLE_RATE):
+                for target in targets:
+                    sample = await measure(
+                        target, loads[target.name], kind, rate, options.seconds, number
+                    )
+                    # The first round opens connections and warms the processes.
+                    if number:
+                        key = target.name, kind, rate
+                        samples.setdefault(key, []).append(sample)
+    print_results(targets, samples)
+
+
+def main() -> None:
+    """Read the options and run."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rounds", type=int, default=4)
+    parser.add_argument("--seconds", type=float, default=1.5)
+    parser.add_argument("--routing", default="least_in_flight")
+    asyncio.run(run(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
