--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -236,6 +236,7 @@
             self._read_report,
             self._clock,
             self._metrics,
+            replace_silent=settings.enabled("silent_connections"),
         )
         self._relay = Relay(
             router,
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -28,6 +28,8 @@
         self.features = features
         self.results: list[CallResult] = []
         self.flows: list[Flow] = []
+        self.deadline_ms = 2000
+        self._callers: Callers | None = None
 
     @classmethod
     def from_context(cls, context) -> "World":
@@ -63,23 +65,27 @@
         await self.fleet.start_upstreams(
             [UpstreamGroup(name, upstreams, behaviour, 1) for name in names]
         )
-        texts = [
-            builders.service_text(
-                name,
-                tuple(self.fleet.upstreams[name]),
-                kinds=self.kinds(name),
-            )
-            for name in names
-        ]
-        await self.fleet.publish(json.dumps(builders.configuration_text(*texts)))
+        await self.publish()
         await self.fleet.start_gateways(
             gateways,
             **{"routing": "least_in_flight", "features": self.features, **settings},
         )
 
+    async def publish(self, extra: Iterable[str] = ()) -> None:
+        """Publish the services, with extra upstream addresses for each."""
+        texts = [
+            builders.service_text(name, (*addresses, *extra), kinds=self.kinds(name))
+            for name, addresses in self.fleet.upstreams.items()
+        ]
+        await self.fleet.publish(json.dumps(builders.configuration_text(*texts)))
+
     def kinds(self, name: str) -> list[dict]:
-        """Return a read and a write with a deadline of 2 seconds."""
-        limit = {"time_limit_ms": 500, "deadline_ms": 2000, "path": f"/{name}"}
+        """Return a read and a write."""
+        limit = {
+            "time_limit_ms": 500,
+            "deadline_ms": self.deadline_ms,
+            "path": f"/{name}",
+        }
         once = builders.kind_text("write", method="POST", idempotent=False, **limit)
         return [builders.kind_text(**limit), once]
 
@@ -93,9 +99,13 @@
 
     async def load(self, seconds: float, seed: int, **options: Any) -> None:
         """Send all flows and keep the results."""
-        callers = Callers([g.address for g in self.fleet.gateways], **options)
-        await callers.run(self.flows, seconds, seed)
-        self.results += callers.results
+        self._callers = Callers([g.address for g in self.fleet.gateways], **options)
+        await self._callers.run(self.flows, seconds, seed)
+        self.results += self._callers.results
+
+    def stop_load(self) -> None:
+        """Send no further call of the running load."""
+        self._callers.stop()
 
     async def runs(self, service: str = "profiles") -> dict[str, int]:
         """Return how often upstreams ran each request."""
@@ -120,6 +130,15 @@
         for address in self.fleet.upstreams[service]:
             await self.fleet.control_upstream(address, behaviour)
 
+    async def settle(self, service: str = "profiles") -> None:
+        """Wait until no upstream holds a call any more."""
+        async with asyncio.timeout(SETTLE_BOUND_S):
+            while any(
+                state["running"] or state["waiting"]
+                for state in await self.fleet.upstream_states(service)
+            ):
+                await asyncio.sleep(0.05)
+
     def tally(self, runs: dict[str, int]) -> Tally:
         """Compare the results with the runs; writes may run once."""
         once = frozenset(flow.name for flow in self.flows if flow.method == "POST")
