Scope a key by the caller that is named, not by its network address

A van that reconnects with a new address and repeats without X-Caller had another scope, so that its order would have run again.

--- a/src/dogwoodshed/_internal/idempotency/answers.py
+++ b/src/dogwoodshed/_internal/idempotency/answers.py
@@ -10,6 +10,7 @@
 from dogwoodshed._internal.exceptions import UpstreamDisconnectedError
 from dogwoodshed._internal.idempotency.records import MAX_ANSWER_BYTES
 from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.proxy.headers import CALLER
 from dogwoodshed._internal.proxy.relay import Answer, OutboundRequest
 from dogwoodshed._internal.routing.base import OutcomeStatus
 
@@ -17,9 +18,14 @@
 _DIGEST_BYTES = 16
 
 
-def scoped_key(call: Call) -> bytes:
-    """Return a digest of the key within its service and caller."""
-    return _digest(call.service.name.encode(), call.caller.encode(), call.key.encode())
+def scoped_key(call: Call, request: OutboundRequest) -> bytes:
+    """Return a digest of the key within its service and the caller that it names.
+
+    The network address of a caller does not count, because it changes when a mobile
+    caller reconnects and repeats.
+    """
+    caller = request.headers.get(CALLER, "")
+    return _digest(call.service.name.encode(), caller.encode(), call.key.encode())
 
 
 def fingerprint(request: OutboundRequest) -> bytes:
--- a/src/dogwoodshed/_internal/idempotency/forwarder.py
+++ b/src/dogwoodshed/_internal/idempotency/forwarder.py
@@ -29,7 +29,10 @@
 
 
 class IdempotentForwarder:
-    """Claim the key of a call before another forwarder sends the call."""
+    """Claim the key of a call before another forwarder sends the call.
+
+    The claim comes before the wait for a slot, so that a repeat takes no turn.
+    """
 
     def __init__(
         self,
@@ -50,7 +53,9 @@
         if call.key is None or call.idempotent:
             return await self._inner.forward(call, request)
         self._metrics.increment("idempotency.calls")
-        found = await self._claimant.claim(call, scoped_key(call), fingerprint(request))
+        found = await self._claimant.claim(
+            call, scoped_key(call, request), fingerprint(request)
+        )
         if isinstance(found, Attempt):
             return await self._send(call, request, found)
         if found.state != State.ANSWERED:
--- a/src/dogwoodshed/_internal/idempotency/transfer.py
+++ b/src/dogwoodshed/_internal/idempotency/transfer.py
@@ -77,6 +77,7 @@
         try:
             for part in _parts(self._records_for(peer)):
                 await self._mesh.request(peer, Records(part), PART_TIMEOUT_S)
+                self._metrics.increment("idempotency.handed_over", len(part))
         except MeshError:
             self._metrics.increment("idempotency.hand_over_failed")
 
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -86,6 +86,16 @@
             self.assertIsInstance(error, KeyConflictError)
         self.assertEqual(fleet.runs, {"k": 1})
 
+    @with_fleet(3)
+    async def test_scope(self, fleet):
+        """A key shared by named callers, or lost when a network address changes."""
+        for gateway in fleet.listed:
+            self.assertIsInstance(await fleet.call(gateway, "k"), Answer)
+        self.assertEqual(fleet.runs, {"k": 1})
+        for caller in ("van", "desk", "van"):
+            await fleet.call("g0", "k", caller=caller)
+        self.assertEqual(fleet.runs, {"k": 3})
+
     @with_fleet(3)
     async def test_release(self, fleet):
         """A key that stays taken by a call that did not run."""
