Find the lines of a text by bisection, and only for faults

The check counted newlines from the start of the text for every key, and did so for valid texts as well. The exact lines in tests/functional/test_check.py still pass.

--- a/src/dogwoodshed/_internal/configuration/document.py
+++ b/src/dogwoodshed/_internal/configuration/document.py
@@ -1,6 +1,7 @@
 """Parse JSON with comments and find the line of each key."""
 
 import re
+from bisect import bisect_right
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
@@ -44,23 +45,29 @@
 
 def key_lines(text: str) -> dict[Path, int]:
     """Return the line of every key and list item of a valid document."""
+    starts = _line_starts(text)
     lines: dict[Path, int] = {}
     for path, offset in _walk(list(_tokens(text))):
-        lines.setdefault(path, text.count("\n", 0, offset) + 1)
+        lines.setdefault(path, bisect_right(starts, offset))
     return lines
 
 
 def duplicate_keys(text: str) -> list[tuple[Path, int]]:
     """Return the path and line of every key that repeats within its object."""
+    starts = _line_starts(text)
     seen: set[Path] = set()
     repeats: list[tuple[Path, int]] = []
     for path, offset in _walk(list(_tokens(text))):
         if path in seen and isinstance(path[-1], str):
-            repeats.append((path, text.count("\n", 0, offset) + 1))
+            repeats.append((path, bisect_right(starts, offset)))
         seen.add(path)
     return repeats
 
 
+def _line_starts(text: str) -> list[int]:
+    return [0, *(match.end() for match in re.finditer("\n", text))]
+
+
 def _tokens(text: str) -> Iterator[_Token]:
     for match in _TOKEN.finditer(text):
         if match.lastgroup != "comment":
--- a/src/dogwoodshed/_internal/configuration/schema.py
+++ b/src/dogwoodshed/_internal/configuration/schema.py
@@ -110,7 +110,6 @@
 
 
 def _check(document: Document) -> tuple[_Text | None, list[Fault]]:
-    lines = key_lines(document.text)
     faults = [
         Fault(document.source, line, _dotted(path), "repeated key", "each key once")
         for path, line in duplicate_keys(document.text)
@@ -122,10 +121,14 @@
     try:
         checked = _Text.model_validate(document.value)
     except ValidationError as error:
+        lines = key_lines(document.text)
         for entry in error.errors():
             faults.append(_schema_fault(document, lines, entry))
         return None, faults
-    for path, problem, expected in _cross_check(checked):
+    cross_faults = _cross_check(checked)
+    # Finding all lines takes as long as the rest of the check; a valid text needs none.
+    lines = key_lines(document.text) if cross_faults else {}
+    for path, problem, expected in cross_faults:
         line = _line_of(lines, path)
         faults.append(Fault(document.source, line, _dotted(path), problem, expected))
     return checked, faults
