Measure how the mechanisms grow, and pick ports that stay free

Capacity at the two-year size was not backed by figures.

A trial met a gateway whose port had been taken by another socket between the choice and the bind, since links and outgoing connections draw from the same range; free_ports now chooses below that range.

--- a/bench/measure.py
+++ b/bench/measure.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import os
 import sys
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -10,6 +9,7 @@
 import aiohttp
 
 from bench.cases import Case, User, configuration, flows
+from bench.processes import processor_s
 from dogwoodshed._internal.exceptions import StandInError
 from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup
 
@@ -19,7 +19,6 @@
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 # The callers wait for their last answers at most this long after the last call.
 TAIL_TIMEOUT_S = 60.0
-_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
 class Plan(NamedTuple):
@@ -104,7 +103,7 @@
 async def _measure(fleet: Fleet, plan: Plan, policy: str, case: Case) -> Run:
     loop = asyncio.get_running_loop()
     gateways = [gateway.pid for gateway in fleet.gateways]
-    processor = {pid: _processor_s(pid) for pid in gateways + fleet.stand_in_pids}
+    processor = {pid: processor_s(pid) for pid in gateways + fleet.stand_in_pids}
     probes = await _probes(fleet)
     traffic = await _control_bytes(fleet)
     started = loop.time()
@@ -112,7 +111,7 @@
     elapsed = loop.time() - started
     after = await _probes(fleet)
     traffic_after = await _control_bytes(fleet)
-    used = {pid: (_processor_s(pid) - processor[pid]) / elapsed for pid in processor}
+    used = {pid: (processor_s(pid) - processor[pid]) / elapsed for pid in processor}
     control = None
     if traffic is not None and traffic_after is not None:
         control = (traffic_after - traffic) / elapsed / len(gateways)
@@ -145,10 +144,11 @@
         json.dumps({**order, "seed": plan.seed + number}) for number in range(processes)
     ]
     timeout = plan.duration + TAIL_TIMEOUT_S
-    return await asyncio.gather(*(_run_load(text, timeout) for text in orders))
+    return await asyncio.gather(*(run_load(text, timeout) for text in orders))
 
 
-async def _run_load(order: str, timeout: float) -> dict[str, Any]:
+async def run_load(order: str, timeout: float) -> dict[str, Any]:
+    """Run one load process and return what it prints."""
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -174,12 +174,6 @@
     return [0.4 + 1.2 * index / (count - 1) for index in range(count)]
 
 
-def _processor_s(pid: int) -> float:
-    with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
-        fields = file.read().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
-
-
 async def _probes(fleet: Fleet) -> list[int]:
     states = await fleet.upstream_states("work")
     return [state["counts"].get("probes", 0) for state in states]
--- /dev/null
+++ b/bench/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measure how single mechanisms grow; one module for each mechanism."""
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import signal
 import socket
 import sys
@@ -19,6 +20,7 @@
 HOSTS_KEY = "dogwoodshed/hosts"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
+PORT_RANGE = (10_000, 32_000)
 
 
 class UpstreamGroup(NamedTuple):
@@ -211,6 +213,12 @@
                 numbers.append(number)
         await self._post(control, {"links": numbers, "cut": cut})
 
+    async def link_bytes(self) -> int:
+        """Return the bytes that all links between gateways have carried."""
+        control = next(iter(self._links.values()))[0]
+        answer = await self._post(control, {"links": [], "cut": False})
+        return sum(answer["bytes"])
+
     async def stop(self) -> None:
         """End every process that this fleet started."""
         for gateway in self.gateways:
@@ -267,12 +275,24 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free at this moment."""
-    sockets = [socket.socket() for _ in range(count)]
+    """Return ports on loopback that are free at this moment.
+
+    They lie below the range from which systems take the ports of outgoing connections
+    and of port 0, because such a port may be taken before its process binds it.
+    """
+    ports: list[int] = []
+    sockets: list[socket.socket] = []
     try:
-        for opened in sockets:
-            opened.bind(("127.0.0.1", 0))
-        return [opened.getsockname()[1] for opened in sockets]
+        while len(ports) < count:
+            opened = socket.socket()
+            sockets.append(opened)
+            port = random.randrange(*PORT_RANGE)
+            try:
+                opened.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            ports.append(port)
+        return ports
     finally:
         for opened in sockets:
             opened.close()
