--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -20,7 +20,9 @@
 HOSTS_KEY = "dogwoodshed/hosts"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
-PORT_RANGE = (10_000, 32_000)
+# Below the ports that the system gives to outgoing connections, which would take a port
+# between the moment it is chosen and the moment a gateway listens on it.
+PORTS = range(12_000, 32_000)
 
 
 class UpstreamGroup(NamedTuple):
@@ -203,6 +205,12 @@
             *(self.control_upstream(address) for address in self.upstreams[service])
         )
 
+    async def link_bytes(self) -> int:
+        """Return the bytes that all links between gateways have carried."""
+        control = next(iter(self._links.values()))[0]
+        answer = await self._post(control, {"links": [], "cut": False})
+        return sum(answer["bytes"])
+
     async def set_partition(self, side: Sequence[int], cut: bool) -> None:
         """Cut or mend every link between gateways of one side and the others."""
         control = ""
@@ -213,12 +221,6 @@
                 numbers.append(number)
         await self._post(control, {"links": numbers, "cut": cut})
 
-    async def link_bytes(self) -> int:
-        """Return the bytes that all links between gateways have carried."""
-        control = next(iter(self._links.values()))[0]
-        answer = await self._post(control, {"links": [], "cut": False})
-        return sum(answer["bytes"])
-
     async def stop(self) -> None:
         """End every process that this fleet started."""
         for gateway in self.gateways:
@@ -275,24 +277,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free at this moment.
-
-    They lie below the range from which systems take the ports of outgoing connections
-    and of port 0, because such a port may be taken before its process binds it.
-    """
+    """Return ports on loopback that are free at this moment."""
     ports: list[int] = []
-    sockets: list[socket.socket] = []
-    try:
-        while len(ports) < count:
-            opened = socket.socket()
-            sockets.append(opened)
-            port = random.randrange(*PORT_RANGE)
+    candidates = iter(random.sample(PORTS, len(PORTS)))
+    while len(ports) < count:
+        port = next(candidates)
+        with socket.socket() as probe:
             try:
-                opened.bind(("127.0.0.1", port))
+                probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-            ports.append(port)
-        return ports
-    finally:
-        for opened in sockets:
-            opened.close()
+        ports.append(port)
+    return ports
