Let the demo wait for the page of the whole evening

The page covers closed minutes only, so a demo of 30 s showed a part of the evening or nothing. Its gateways now close a minute every second, and the page is read two seconds after the last call.

--- a/src/dogwoodshed/_internal/demo/evening.py
+++ b/src/dogwoodshed/_internal/demo/evening.py
@@ -17,6 +17,10 @@
 PROGRESS_S = 0.25
 # Shorter than the default, so that a silent connection is replaced within the evening.
 PROGRESS_TIMEOUT_S = 1.0
+# The page covers closed minutes only; ordinary ones would outlast the evening.
+MINUTE_S = 1.0
+# The last minute closes, and its summaries arrive half a minute later.
+PAGE_DELAY_S = 2 * MINUTE_S
 
 
 class EveningResult(NamedTuple):
@@ -76,6 +80,7 @@
             festival.GATEWAYS,
             data_centres=DATA_CENTRES,
             limits={"progress_timeout_s": PROGRESS_TIMEOUT_S},
+            reporting={"minute_s": MINUTE_S},
             **self._settings,
         )
 
@@ -118,6 +123,7 @@
 
     async def _read_page(self) -> str | None:
         """Return the daily page of one gateway, or None if it offers none."""
+        await asyncio.sleep(PAGE_DELAY_S)
         address = self._fleet.gateways[0].administration
         try:
             async with self._fleet.session.get(
