--- a/bench/policies.py
+++ b/bench/policies.py
@@ -8,6 +8,7 @@
 import json
 import math
 import os
+import signal
 import sys
 import time
 from pathlib import Path
@@ -29,6 +30,8 @@
 def main() -> int:
     """Run the comparison and return 1 if a target was missed."""
     options = _parse()
+    # Ends the started processes on SIGTERM as on SIGINT.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     policies = known_policies(options.policies)
     gateways = _fitting_gateways(options.gateways)
     missed = False
--- a/src/dogwoodshed/_internal/commands/demo.py
+++ b/src/dogwoodshed/_internal/commands/demo.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import json
+import signal
 
 from dogwoodshed._internal import plugins, registry
 from dogwoodshed._internal.cli import status_codes
@@ -48,6 +49,8 @@
 
     def run(self, options: argparse.Namespace) -> int:
         """Run the evening and return its exit code."""
+        # Ends the started processes on SIGTERM as on SIGINT.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
         plugins.load()
         registry.lookup(registry.ROUTING, options.routing)
         settings = {
