Measure record tables and summaries, and scale policy runs to a busy machine

Comparisons on a machine with a load average of 17 on 10 cores measured the machine: the upstreams' timers ran late and the policies lost capacity.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,6 +16,8 @@
     "heartbeat",
     "assignment",
     "queue",
+    "records",
+    "report",
     "calls",
     "mesh",
 )
--- a/bench/measure.py
+++ b/bench/measure.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import sys
 from collections.abc import Iterable
 from typing import Any, NamedTuple
@@ -63,6 +64,8 @@
     most_probes: int
     counted_s: float
     control_bytes_per_s: float | None
+    # Of the whole machine, over a minute; above its cores the machine is the limit.
+    load_average: float
 
 
 async def run_case(plan: Plan, policy: str, case: Case) -> Run:
@@ -127,6 +130,7 @@
         most_probes=max(b - a for a, b in zip(probes, after, strict=True)),
         counted_s=elapsed,
         control_bytes_per_s=control,
+        load_average=os.getloadavg()[0],
     )
 
 
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -37,6 +37,7 @@
     missed = False
     for name in options.users:
         user = USERS[name]
+        user = user._replace(mean_ms=user.mean_ms * options.scale)
         duration = options.seconds or (QUICK_S if options.quick else FULL_S)
         warm_up = QUICK_WARM_UP_S if options.quick else FULL_WARM_UP_S
         plan = Plan(user, gateways, duration + warm_up, warm_up, options.seed)
@@ -50,6 +51,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--quick", action="store_true", help="shorter runs")
     parser.add_argument("--seconds", type=float, help="length of each run")
+    parser.add_argument(
+        "--scale",
+        type=float,
+        default=1.0,
+        help="multiplies service times and divides rates, for a busy machine",
+    )
     parser.add_argument("--policies", nargs="+", default=POLICIES, choices=POLICIES)
     parser.add_argument("--cases", nargs="+", default=tuple(CASES), choices=CASES)
     parser.add_argument("--users", nargs="+", default=tuple(USERS), choices=USERS)
@@ -139,7 +146,8 @@
         f"{summary.utilisation:.2f}; probes {summary.probes_per_s:.2f}/s; control "
         f"bytes/gateway {bytes_text}; cores: gateway {run['gateway_cores']:.2f}, "
         f"all gateways {run['gateways_cores']:.2f}, load {run['load_cores']:.2f}, "
-        f"stand-in {run['stand_in_cores']:.2f}",
+        f"stand-in {run['stand_in_cores']:.2f}; load average {run['load_average']:.0f} "
+        f"of {os.cpu_count()}",
         flush=True,
     )
 
--- /dev/null
+++ b/bench/slopes/report.py
@@ -0,0 +1,54 @@
+"""Measure the summary of one minute against the number of services."""
+
+import random
+
+from bench.slopes.base import Point, processor_time
+from dogwoodshed._internal.proxy.server import CallRecord
+from dogwoodshed._internal.reporting.summary import (
+    Counts,
+    decode_counts,
+    encode_counts,
+    run_steps,
+)
+
+AXIS = "services"
+SERVICES = (3, 30, 100, 280)
+KINDS = 3
+# 800,000 calls/s over 1,200 gateways and 840 kinds.
+CALLS = 48
+REPEATS = 5
+
+
+def measure() -> list[Point]:
+    """Encode and decode summaries of growing size."""
+    return [_measure(services) for services in SERVICES]
+
+
+def _measure(services: int) -> Point:
+    source = random.Random(services)
+    counts = Counts.empty()
+    for service in range(services):
+        for rank in range(KINDS):
+            key = (f"service-{service}", f"kind-{rank}", rank)
+            for _ in range(CALLS):
+                elapsed = source.expovariate(1 / 0.02)
+                record = CallRecord(*key, 200, "yes", elapsed, True, 0.001, elapsed)
+                counts.tally(key).add_call(record)
+    body = run_steps(encode_counts(counts))
+
+    def encode_many() -> None:
+        for _ in range(REPEATS):
+            run_steps(encode_counts(counts))
+
+    def decode_many() -> None:
+        for _ in range(REPEATS):
+            run_steps(decode_counts(body))
+
+    return Point(
+        {"services": services, "kinds": services * KINDS},
+        {
+            "bytes": len(body),
+            "encode_ms": processor_time(encode_many) / REPEATS * 1000,
+            "decode_ms": processor_time(decode_many) / REPEATS * 1000,
+        },
+    )
