Hold work after a pause and know killed gateways at once

A gateway that woke gave the calls that had waited for it to upstreams that had begun to drain meanwhile. Slots are now given out only after peers have told what changed, for at most 0.5 s; the first call after the pause checks the clock itself, and a slot granted before the pause is given back.

A gateway whose connection ends is dialled again within 50 ms, and taken for dead when its address refuses.

--- /dev/null
+++ b/src/dogwoodshed/_internal/catch_up.py
@@ -0,0 +1,94 @@
+"""Give out no work after a pause until peers have told what changed."""
+
+import asyncio
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.configuration.distribution import Distribution
+from dogwoodshed._internal.drains import Drains
+from dogwoodshed._internal.mesh.service import Mesh
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.routing.base import Outcome, OutcomeStatus, Router, Slot
+
+FEATURE = "catch_up"
+
+# Reconnecting takes some 50 ms; calls are not held for longer when peers are lost.
+CATCH_UP_MOST_S = 0.5
+
+
+class CatchUp:
+    """Tell whether the process was paused and does not know yet what it missed."""
+
+    def __init__(
+        self,
+        mesh: Mesh,
+        distribution: Distribution,
+        metrics: Metrics,
+        *,
+        enabled: bool = True,
+    ) -> None:
+        self._mesh = mesh
+        self._distribution = distribution
+        self._metrics = metrics
+        self._done = asyncio.Event()
+        self._done.set()
+        self._task: asyncio.Task[None] | None = None
+        if enabled:
+            mesh.on_pause(self._begin)
+
+    @property
+    def pending(self) -> bool:
+        # A call may be the first to run after the pause, before any task of the mesh.
+        self._mesh.check_pause()
+        return not self._done.is_set()
+
+    async def wait(self) -> None:
+        """Wait until peers have told what changed, within a bound."""
+        if self.pending:
+            self._metrics.increment("catch_up.held")
+            await self._done.wait()
+
+    def _begin(self, gap: float) -> None:
+        self._done.clear()
+        if self._task is not None:
+            self._task.cancel()
+        self._task = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        try:
+            async with asyncio.timeout(CATCH_UP_MOST_S):
+                await self._distribution.rejoin(CATCH_UP_MOST_S)
+        except TimeoutError:
+            self._metrics.increment("catch_up.timed_out")
+        self._done.set()
+
+
+class GuardedRouter:
+    """Pass on slots, but none while catching up, and note drains in load reports."""
+
+    def __init__(
+        self, router: Router, catch_up: CatchUp, drains: Drains, clock: Clock
+    ) -> None:
+        self._router = router
+        self._catch_up = catch_up
+        self._drains = drains
+        self._clock = clock
+
+    async def acquire(
+        self, call: Call, *, exclude: frozenset[str] = frozenset()
+    ) -> Slot:
+        """Wait for a slot; raises NotRunError."""
+        while True:
+            await self._catch_up.wait()
+            slot = await self._router.acquire(call, exclude=exclude)
+            if not self._catch_up.pending:
+                return slot
+            # The slot was granted on what was known before a pause.
+            self._router.release(slot, Outcome(OutcomeStatus.CANCELLED, 0.0))
+
+    def release(self, slot: Slot, outcome: Outcome) -> None:
+        """Return a slot with the outcome of its call."""
+        self._router.release(slot, outcome)
+        if outcome.report is not None:
+            sent_at = self._clock.monotonic() - outcome.elapsed
+            self._drains.note_report(slot.upstream.address, outcome.report, sent_at)
--- a/src/dogwoodshed/_internal/configuration/distribution.py
+++ b/src/dogwoodshed/_internal/configuration/distribution.py
@@ -74,6 +74,11 @@
                 pass
         self._joined = True
 
+    async def rejoin(self, timeout: float) -> None:
+        """Wait for the texts and drains that changed during a pause."""
+        self._heard.clear()
+        await self.join(timeout)
+
     def _is_up_to_date(self, timed_out: bool) -> bool:
         if self._store.current is None:
             return False
--- a/src/dogwoodshed/_internal/drains.py
+++ b/src/dogwoodshed/_internal/drains.py
@@ -11,8 +11,7 @@
 from dogwoodshed._internal.mesh.messages import UpstreamState
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
-from dogwoodshed._internal.proxy.call import Call
-from dogwoodshed._internal.routing.base import LoadReport, Outcome, Router, Slot
+from dogwoodshed._internal.routing.base import LoadReport
 
 FEATURE = "drains"
 
@@ -154,25 +153,3 @@
             if state.noted_at < limit and (gone or not state.draining):
                 del self._states[address, source]
                 self._apply(address, source)
-
-
-class DrainObservingRouter:
-    """Pass on slots and note the drains that the load reports of calls tell."""
-
-    def __init__(self, router: Router, drains: Drains, clock: Clock) -> None:
-        self._router = router
-        self._drains = drains
-        self._clock = clock
-
-    async def acquire(
-        self, call: Call, *, exclude: frozenset[str] = frozenset()
-    ) -> Slot:
-        """Wait for a slot; raises NotRunError."""
-        return await self._router.acquire(call, exclude=exclude)
-
-    def release(self, slot: Slot, outcome: Outcome) -> None:
-        """Return a slot with the outcome of its call."""
-        self._router.release(slot, outcome)
-        if outcome.report is not None:
-            sent_at = self._clock.monotonic() - outcome.elapsed
-            self._drains.note_report(slot.upstream.address, outcome.report, sent_at)
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -5,7 +5,8 @@
 from absl import logging
 from mode import Service
 
-from dogwoodshed._internal import drains, plugins, registry
+from dogwoodshed._internal import catch_up, drains, plugins, registry
+from dogwoodshed._internal.catch_up import GuardedRouter
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration import distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
@@ -101,6 +102,12 @@
             self._metrics,
             enabled=settings.enabled(distribution.FEATURE),
         )
+        self._catch_up = catch_up.CatchUp(
+            self._mesh,
+            self._distribution,
+            self._metrics,
+            enabled=settings.enabled(catch_up.FEATURE),
+        )
         self._ready = asyncio.Event()
 
     def _create_router(self) -> Router:
@@ -146,7 +153,7 @@
         fleet_size = len(settings.mesh.peers) + 1
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
         self._relay = Relay(
-            drains.DrainObservingRouter(self._router, self._drains, self._clock),
+            GuardedRouter(self._router, self._catch_up, self._drains, self._clock),
             self._pools,
             registry.lookup(registry.LOAD_REPORT, "orca"),
             self._clock,
--- a/src/dogwoodshed/_internal/mesh/redial.py
+++ b/src/dogwoodshed/_internal/mesh/redial.py
@@ -19,13 +19,16 @@
         """Note that the connection to the peer ended."""
         self._lost.set()
 
-    async def wait_lost(self, timeout: float) -> None:
-        """Wait until the connection ends, or for the timeout."""
+    async def wait_lost(self, timeout: float) -> bool:
+        """Wait until the connection ends; tell whether it did within the timeout."""
         try:
             async with asyncio.timeout(timeout):
                 await self._lost.wait()
         except TimeoutError:
-            pass
+            return False
+        self._lost.clear()
+        self._delay = REDIAL_FIRST_S
+        return True
 
     def note_attempt(self, lasted: float) -> None:
         """Note an attempt and for how long its connection lasted."""
--- a/src/dogwoodshed/_internal/mesh/service.py
+++ b/src/dogwoodshed/_internal/mesh/service.py
@@ -29,6 +29,7 @@
 
 Handler = Callable[[str, Any], Any | Awaitable[Any]]
 
+FEATURE_REFUSAL = "refusal"
 HELLO_TIMEOUT_S = 1.0
 FLUSH_TIMEOUT_S = 0.5
 
@@ -58,6 +59,7 @@
     ) -> None:
         super().__init__()
         self._settings: MeshSettings = settings.mesh
+        self._detect_refusal = settings.enabled(FEATURE_REFUSAL)
         self._membership = membership
         self._heartbeat_state = heartbeat_state
         self._clock = clock
@@ -174,20 +176,25 @@
         pace = self._dialling[peer_id]
         while not self.should_stop and self._membership.address(peer_id) == address:
             if peer_id in self._connections:
-                await pace.wait_lost(self._settings.dead_after_s)
+                if await pace.wait_lost(self._settings.dead_after_s):
+                    await self.sleep(pace.next_delay())
                 continue
             started = self._clock.monotonic()
             try:
                 await self._dial(address)
             except (OSError, MeshError) as error:
                 self._metrics.increment("mesh.dial_failed")
-                refused = isinstance(error, ConnectionRefusedError)
-                if refused and peer_id not in self._connections:
-                    self._membership.note_refused(peer_id)
+                if isinstance(error, ConnectionRefusedError):
+                    self._note_refused(peer_id)
             pace.note_attempt(self._clock.monotonic() - started)
             await self.sleep(pace.next_delay())
         del self._dialling[peer_id]
 
+    def _note_refused(self, peer_id: str) -> None:
+        # The peer may have connected to this gateway in the meantime.
+        if self._detect_refusal and peer_id not in self._connections:
+            self._membership.note_refused(peer_id)
+
     async def _dial(self, address: str) -> None:
         async with asyncio.timeout(HELLO_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(*split_address(address))
@@ -249,10 +256,11 @@
             current.close()
         self._connections[hello.peer_id] = connection
         self._membership.note_connected(hello)
-        self._sequence += 1
-        connection.send(Heartbeat(self._sequence, *self._heartbeat_state()))
+        # Before the heartbeat, which tells the peer that it has heard everything.
         for listener in self._connect_listeners:
             listener(hello.peer_id)
+        self._sequence += 1
+        connection.send(Heartbeat(self._sequence, *self._heartbeat_state()))
         return True
 
     def _handle(self, connection: Connection, envelope: Envelope) -> None:
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -138,6 +138,7 @@
         *,
         data_centres: Sequence[str] = ("dc-1",),
         with_links: bool = False,
+        link_delay_s: float = 0.0,
         platform_link_for: Sequence[int] = (),
         **settings: Any,
     ) -> None:
@@ -148,7 +149,7 @@
         ports = free_ports(3 * count)
         mesh = [f"127.0.0.1:{port}" for port in ports[:count]]
         if with_links:
-            await self._start_links(mesh)
+            await self._start_links(mesh, link_delay_s)
         platforms = dict.fromkeys(range(count), self.platform)
         if platform_link_for:
             order = {"targets": [self.platform]}
@@ -168,11 +169,15 @@
                         "host": f"host-{index:02d}",
                         "data_centre": data_centres[index % len(data_centres)],
                         "listen": f"127.0.0.1:{ports[count + index]}",
-                        "mesh": {"listen": mesh[index], "peers": peers},
                         "administration": {
                             "listen": f"127.0.0.1:{ports[2 * count + index]}"
                         },
                         **settings,
+                        "mesh": {
+                            "listen": mesh[index],
+                            "peers": peers,
+                            **settings.get("mesh", {}),
+                        },
                         "platform": {
                             "address": platforms[index],
                             **settings.get("platform", {}),
@@ -246,7 +251,7 @@
             await self._session.close()
         self._directory.cleanup()
 
-    async def _start_links(self, mesh: Sequence[str]) -> None:
+    async def _start_links(self, mesh: Sequence[str], delay: float) -> None:
         pairs = [
             (first, second)
             for first in range(len(mesh))
@@ -254,7 +259,8 @@
             if first != second
         ]
         answer = await self._start_stand_in(
-            "link", {"targets": [mesh[second] for _, second in pairs]}
+            "link",
+            {"targets": [mesh[second] for _, second in pairs], "delay": delay},
         )
         self._link_addresses = dict(zip(pairs, answer["addresses"], strict=True))
         for number, pair in enumerate(pairs):
--- /dev/null
+++ b/tests/features/lost_gateway.feature
@@ -0,0 +1,27 @@
+Feature: Gateways that are killed or paused do no harm
+
+  Scenario: A killed gateway is known to be dead at once
+    Given 4 gateways that take a silent one for dead after 60 seconds
+    When gateway 2 is killed
+    Then the other gateways know within 5 seconds that gateway 2 is not live
+
+  Scenario: A paused gateway is left out and comes back
+    Given 4 gateways and 3 upstreams that serve by text 1
+    When gateway 2 is paused
+    Then the other gateways know within 5 seconds that gateway 2 is not live
+    When gateway 2 wakes
+    Then the other gateways know within 5 seconds that gateway 2 is live
+    And gateway 2 knows within 5 seconds that all others are live
+    And 20 calls to each gateway are answered and some reach upstream 0
+
+  Scenario: A gateway that wakes late gives no work to an upstream that drains
+    Given 4 gateways, 50 ms apart, and 3 upstreams that serve by text 1
+    When gateway 2 is paused
+    And the other gateways know within 5 seconds that gateway 2 is not live
+    And upstream 0 reports that it drains
+    And gateway 0 is called 6 times
+    And the operators publish text 2
+    And 30 calls wait at gateway 2 while it wakes
+    Then all waiting calls are answered and none reached upstream 0
+    And every gateway serves by text 2 within 5 seconds
+    And no gateway went back to an older text
--- /dev/null
+++ b/tests/unit/test_catch_up.py
@@ -0,0 +1,107 @@
+"""Test that no work is given out on what was known before a pause."""
+
+import asyncio
+import unittest
+
+from dogwoodshed._internal.catch_up import CatchUp, GuardedRouter
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.routing.base import (
+    LoadReport,
+    Outcome,
+    OutcomeStatus,
+    Slot,
+)
+from tests.lib import builders
+from tests.lib.mesh_fakes import ManualClock
+
+
+class _Mesh:
+    def __init__(self):
+        self.pauses = []
+        self.paused = False
+
+    def on_pause(self, listener):
+        self.pauses.append(listener)
+
+    def check_pause(self):
+        if self.paused:
+            self.paused = False
+            self.pauses[0](9.0)
+
+
+class _Distribution:
+    def __init__(self):
+        self.caught_up = asyncio.Event()
+
+    async def rejoin(self, timeout):
+        await self.caught_up.wait()
+
+
+class _Router:
+    def __init__(self, mesh):
+        service = builders.configuration().services[0]
+        self.slot = Slot(service, service.upstreams[0])
+        self.mesh = mesh
+        self.pause_in_acquire = False
+        self.acquired = 0
+        self.released = []
+
+    async def acquire(self, call, *, exclude):
+        self.acquired += 1
+        if self.pause_in_acquire:
+            self.pause_in_acquire, self.mesh.paused = False, True
+        return self.slot
+
+    def release(self, slot, outcome):
+        self.released.append(outcome)
+
+
+class _Drains:
+    def __init__(self):
+        self.noted = []
+
+    def note_report(self, address, report, sent_at):
+        self.noted.append((address, report.draining, sent_at))
+
+
+class CatchUpTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.mesh, self.drains = _Mesh(), _Drains()
+        self.distribution = _Distribution()
+        self.router = _Router(self.mesh)
+        catch_up = CatchUp(self.mesh, self.distribution, Metrics())
+        self.guarded = GuardedRouter(self.router, catch_up, self.drains, ManualClock())
+
+    async def settle(self):
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+    async def test_holds_calls_that_arrive_after_a_pause(self):
+        """Guards against a woken gateway that uses an upstream drained meanwhile."""
+        self.mesh.paused = True
+        call = asyncio.ensure_future(self.guarded.acquire(None))
+        await self.settle()
+        self.assertEqual(self.router.acquired, 0)
+        self.distribution.caught_up.set()
+        await call
+
+    async def test_gives_back_a_slot_that_was_granted_before_a_pause(self):
+        """Guards against calls that stood in the queue during the pause."""
+        self.router.pause_in_acquire = True
+        call = asyncio.ensure_future(self.guarded.acquire(None))
+        await self.settle()
+        self.assertFalse(call.done())
+        self.assertEqual(self.router.released[0].status, OutcomeStatus.CANCELLED)
+        self.distribution.caught_up.set()
+        await call
+        self.assertEqual(self.router.acquired, 2)
+
+    async def test_notes_load_reports_with_the_time_of_the_call(self):
+        """Guards against an answer from before a drain that ends the drain."""
+        outcome = Outcome(OutcomeStatus.ANSWERED, 2.0, LoadReport(draining=True))
+        self.guarded.release(self.router.slot, outcome)
+        self.assertEqual(self.drains.noted, [("127.0.0.1:1", True, 998.0)])
+
+
+if __name__ == "__main__":
+    unittest.main()
