--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -5,12 +5,13 @@
 from absl import logging
 from mode import Service
 
-from dogwoodshed._internal import drains, plugins, registry
+from dogwoodshed._internal import catch_up, drains, plugins, registry
 from dogwoodshed._internal.administration.api import (
     AdministrationActions,
     AdministrationApi,
 )
 from dogwoodshed._internal.administration.status import StatusSources
+from dogwoodshed._internal.catch_up import GuardedRouter
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration import distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
@@ -121,6 +122,12 @@
             self._metrics,
             enabled=settings.enabled(distribution.FEATURE),
         )
+        self._catch_up = catch_up.CatchUp(
+            self._mesh,
+            self._distribution,
+            self._metrics,
+            enabled=settings.enabled(catch_up.FEATURE),
+        )
         self._read_report = registry.lookup(registry.LOAD_REPORT, "orca")
         self._prober = prober.Prober(
             self._router,
@@ -229,7 +236,7 @@
         settings = self._settings
         fleet_size = len(settings.mesh.peers) + 1
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
-        router = drains.DrainObservingRouter(self._router, self._drains, self._clock)
+        router = GuardedRouter(self._router, self._catch_up, self._drains, self._clock)
         sender = Sender(
             router,
             self._pools,
