--- a/bench/idempotency_cost.py
+++ b/bench/idempotency_cost.py
@@ -130,7 +130,7 @@
 
     async def link_bytes(self) -> int:
         """Return the bytes that all links between gateways have carried."""
-        return sum(await self._fleet.link_bytes())
+        return await self._fleet.link_bytes()
 
     def messages(self) -> int:
         """Return the messages that gateways have counted for keys."""
--- a/src/dogwoodshed/_internal/idempotency/answers.py
+++ b/src/dogwoodshed/_internal/idempotency/answers.py
@@ -83,7 +83,9 @@
             if status is not OutcomeStatus.ANSWERED:
                 response.close()
             await answer.finish(status)
-    return Answer(None, answer.status, answer.headers, b"".join(parts))
+    return Answer(
+        None, answer.status, answer.headers, b"".join(parts), reason=answer.reason
+    )
 
 
 class _ResumedResponse:
--- a/src/dogwoodshed/_internal/idempotency/forwarder.py
+++ b/src/dogwoodshed/_internal/idempotency/forwarder.py
@@ -63,6 +63,7 @@
         if not found.answer:
             raise FirstCallUnknownError("it was answered, but its answer is not kept")
         self._metrics.increment("idempotency.replayed")
+        call.double_prevented = True
         return decode_answer(found.answer)
 
     async def _send(
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -253,12 +253,6 @@
         """Cut or mend the link to the platform."""
         await self._post(self._platform_link, {"links": [0], "cut": cut})
 
-    async def link_bytes(self) -> list[int]:
-        """Return the bytes that each link between gateways has carried."""
-        control, _ = next(iter(self._links.values()))
-        answer = await self._post(control, {"links": [], "cut": False})
-        return answer["bytes"]
-
     async def stop(self) -> None:
         """End every process that this fleet started."""
         for gateway in self.gateways:
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -354,11 +354,9 @@
         self.ends = []
 
     def read(self, *parts):
-        async def finish(status):
-            self.ends.append(status)
-
         async def read(loop):
-            answer = Answer(_Response(*parts), 200, CIMultiDict(), None, finish)
+            answer = Answer(_Response(*parts), 200, CIMultiDict(), None)
+            answer.attach(self.ends.append, lambda: None)
             answer = await read_whole(answer)
             if answer.response is None:
                 return answer.body
