--- a/src/dogwoodshed/_internal/mesh/connection.py
+++ b/src/dogwoodshed/_internal/mesh/connection.py
@@ -127,7 +127,8 @@
     async def receive(self) -> list[Envelope] | None:
         """Return the next messages, or None at the end of the connection.
 
-        Replies go to their requests and are not returned.
+        Replies go to their requests. A reply whose request has timed out is returned
+        as a message, since it may grant something that must be given back.
         """
         if self._unread:
             self._unread = False
@@ -141,10 +142,10 @@
     def _take(self, data: bytes) -> list[Envelope]:
         envelopes = []
         for envelope in self._decoder.feed(data):
-            if envelope.request_id < 0:
-                self._settle(-envelope.request_id, envelope.message)
-            else:
+            if envelope.request_id >= 0:
                 envelopes.append(envelope)
+            elif not self._settle(-envelope.request_id, envelope.message):
+                envelopes.append(Envelope(0, envelope.message))
         return envelopes
 
     def close(self) -> None:
@@ -165,11 +166,12 @@
         except TimeoutError:
             pass
 
-    def _settle(self, number: int, message: Any) -> None:
-        # A reply that comes after its timeout has no request any more.
+    def _settle(self, number: int, message: Any) -> bool:
         reply = self._replies.get(number)
-        if reply is not None and not reply.done():
-            reply.set_result(message)
+        if reply is None or reply.done():
+            return False
+        reply.set_result(message)
+        return True
 
 
 def _check_hello(envelope: Envelope, own: Hello) -> Hello:
--- a/src/dogwoodshed/_internal/routing/borrowing.py
+++ b/src/dogwoodshed/_internal/routing/borrowing.py
@@ -20,7 +20,7 @@
 LEAST_TERM_S = 0.05
 # A lender takes a slot back this long after the term if it hears nothing more: the
 # message may be lost, and a call on the slot may still run.
-RECLAIM_AFTER_S = 10.0
+RECLAIM_AFTER_S = 5.0
 # A lender without an idle slot keeps the question this long and grants the next one.
 HOLD_S = 0.1
 ASK_TIMEOUT_S = HOLD_S + 0.05
@@ -174,15 +174,12 @@
         )
         waiting = self._held.setdefault(slots.service.name, deque())
         waiting.append(held)
-        try:
-            async with asyncio.timeout(HOLD_S):
-                return await held.answer
-        except TimeoutError:
-            self._metrics.increment("lend.refused")
-            return Lent(())
-        finally:
-            if held in waiting:
-                waiting.remove(held)
+        await asyncio.wait({held.answer}, timeout=HOLD_S)
+        if held.answer.done():
+            return held.answer.result()
+        waiting.remove(held)
+        self._metrics.increment("lend.refused")
+        return Lent(())
 
     def lend_idle(self, slots: ServiceSlots) -> None:
         """Grant idle slots to the questions that wait for one."""
@@ -193,10 +190,7 @@
             if not answer.leases:
                 return
             waiting.popleft()
-            if held.answer.done():
-                self.take_back(slots, held.borrower, (answer.leases[0].lease_id,))
-            else:
-                held.answer.set_result(answer)
+            held.answer.set_result(answer)
 
     def _lend(self, slots: ServiceSlots, borrower: str, question: Borrow) -> Lent:
         slot = slots.find_lendable(question.rank, question.exclude)
--- a/src/dogwoodshed/_internal/routing/slices.py
+++ b/src/dogwoodshed/_internal/routing/slices.py
@@ -57,6 +57,7 @@
         self._lender = Lender(self._mesh, self._clock, self._metrics)
         self._mesh.subscribe(Borrow, self._answer_borrow)
         self._mesh.subscribe(Returned, self._note_returned)
+        self._mesh.subscribe(Lent, self._return_late)
         self._mesh.on_pause(self._drop_leases)
 
     @classmethod
@@ -275,6 +276,13 @@
             return Lent(())
         return await self._lender.answer(slots, peer_id, question)
 
+    def _return_late(self, peer_id: str, answer: Lent) -> None:
+        """Give back what was lent in an answer that came after its timeout."""
+        if answer.leases:
+            self._metrics.increment("borrow.late")
+            lease_ids = tuple(lease.lease_id for lease in answer.leases)
+            self._mesh.send(peer_id, Returned(lease_ids))
+
     def _note_returned(self, peer_id: str, message: Returned) -> None:
         for slots in self._services.values():
             self._lender.take_back(slots, peer_id, message.lease_ids)
