--- a/tests/features/fleet_of_slots.feature
+++ b/tests/features/fleet_of_slots.feature
@@ -13,6 +13,6 @@
 
   Scenario: Probes stay within their budget in a partition, restarts and pauses
     Given 4 linked gateways before 4 upstreams with a budget of 2 probes a second
-    When the fleet is split into two halves and a gateway restarts and another pauses for 3 seconds
+    When every gateway is cut off, one restarts and another pauses for 3 seconds
     Then within 10 seconds no upstream is probed above its budget
     And every upstream is probed
--- a/tests/features/steps/slots_steps.py
+++ b/tests/features/steps/slots_steps.py
@@ -162,8 +162,7 @@
 
 
 @when(
-    "the fleet is split into two halves and a gateway restarts and another pauses for "
-    "{seconds:d} seconds"
+    "every gateway is cut off, one restarts and another pauses for {seconds:d} seconds"
 )
 def disturb(context, seconds):
     fleet = context.world.fleet
@@ -171,7 +170,8 @@
     async def run():
         context.since = asyncio.get_running_loop().time()
         context.probes = await count_probes(fleet)
-        await fleet.set_partition(range(len(fleet.gateways) // 2), True)
+        for number in range(len(fleet.gateways)):
+            await fleet.set_partition([number], True)
         fleet.gateways[0].send_signal(signal.SIGKILL)
         await fleet.gateways[0].wait()
         await fleet.gateways[0].start()
--- a/tests/lib/running_fleet.py
+++ b/tests/lib/running_fleet.py
@@ -13,7 +13,7 @@
     GatewayProcess,
     UpstreamGroup,
 )
-from tests.lib import builders
+from tests.lib import builders, scenario
 
 POLL_S = 0.02
 SERVICE = "profiles"
@@ -43,10 +43,8 @@
 
         A scenario must fail when the mechanism that it tests is switched off.
         """
-        userdata = context.config.userdata
-        names = userdata.get("off", "").split(",")
-        running = cls({name: False for name in names if name})
-        running.routing = userdata.get("routing", running.routing)
+        running = cls(scenario.switched_off(context))
+        running.routing = context.config.userdata.get("routing", running.routing)
         context.add_cleanup(running.close)
         return running
 
--- a/tests/lib/world.py
+++ b/tests/lib/world.py
@@ -14,7 +14,7 @@
 )
 from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup
 from dogwoodshed._internal.standins.upstream import Behaviour
-from tests.lib import builders
+from tests.lib import builders, scenario
 
 SETTLE_BOUND_S = 20.0
 
@@ -35,10 +35,9 @@
     def from_context(cls, context) -> "World":
         """Create a world that ends with its scenario.
 
-        `behave -D without=NAME` switches a mechanism off.
+        `behave -D off=NAME,NAME` switches mechanisms off.
         """
-        without = context.config.userdata.get("without")
-        world = cls({without: False} if without else {})
+        world = cls(scenario.switched_off(context))
         context.add_cleanup(world.close)
         return world
 
