--- a/bench/cost.py
+++ b/bench/cost.py
@@ -178,7 +178,7 @@
     loads = {target.name: Load(target.address) for target in targets}
     for number in range(options.rounds + 1):
         for kind in REQUESTS:
-            for rate in (LOW_RATE, MIDDLE_RATE):
+            for rate in options.rates:
                 for target in targets:
                     sample = await measure(
                         target, loads[target.name], kind, rate, options.seconds, number
@@ -195,6 +195,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--rounds", type=int, default=4)
     parser.add_argument("--seconds", type=float, default=1.5)
+    parser.add_argument("--rates", type=int, nargs="+", default=[LOW_RATE, MIDDLE_RATE])
     parser.add_argument("--routing", default="least_in_flight")
     asyncio.run(run(parser.parse_args()))
 
--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -53,7 +53,16 @@
 class Attempt:
     """One attempt on one slot, released exactly once."""
 
-    __slots__ = ("_clock", "_pool", "_report", "_router", "_slot", "_started", "limit")
+    __slots__ = (
+        "_clock",
+        "_pool",
+        "_report",
+        "_router",
+        "_slot",
+        "_started",
+        "limit",
+        "timer",
+    )
 
     def __init__(
         self, router: Router, slot: Slot, pool: UpstreamPool, clock: Clock
@@ -65,6 +74,7 @@
         self._report: LoadReport | None = None
         self._started = clock.monotonic()
         self.limit: asyncio.Timeout | None = None
+        self.timer: asyncio.TimerHandle | None = None
         pool.enter()
 
     @property
@@ -120,10 +130,9 @@
             slot.upstream.address, call.service.connections_per_upstream
         )
         attempt = Attempt(self._router, slot, pool, self._clock)
-        timer = self._loop.call_later(patience, self._stalled, attempt, may_give_up)
         status: OutcomeStatus | None = OutcomeStatus.CANCELLED
         try:
-            answer = await self._exchange(call, request, attempt)
+            answer = await self._exchange(call, request, attempt, patience, may_give_up)
             if answer.response is not None:
                 # The slot stays in use until the caller has the last byte.
                 answer.attach(attempt.end, lambda: self._suspect(pool))
@@ -140,14 +149,21 @@
             self._note_given_up(pool)
             raise
         finally:
-            timer.cancel()
+            if attempt.timer is not None:
+                attempt.timer.cancel()
             if status is not None:
                 attempt.end(status)
 
-    def _stalled(self, attempt: Attempt, may_give_up: Callable[[], bool]) -> None:
-        self._suspect(attempt.pool)
-        if attempt.limit is not None and may_give_up():
-            attempt.limit.reschedule(self._loop.time())
+    def _stalled(
+        self, attempt: Attempt, ends: float, may_give_up: Callable[[], bool] | None
+    ) -> None:
+        """Notice missing progress; end the attempt now or at its limit."""
+        if may_give_up is not None:
+            self._suspect(attempt.pool)
+            if not may_give_up():
+                attempt.limit.reschedule(ends)
+                return
+        attempt.limit.reschedule(self._loop.time())
 
     def _note_given_up(self, pool: UpstreamPool) -> None:
         # A hedge ends an attempt long before its patience does, so that the attempts
@@ -163,7 +179,12 @@
             self._pools.replace(pool)
 
     async def _exchange(
-        self, call: Call, request: OutboundRequest, attempt: Attempt
+        self,
+        call: Call,
+        request: OutboundRequest,
+        attempt: Attempt,
+        patience: float,
+        may_give_up: Callable[[], bool],
     ) -> Answer:
         now = self._clock.monotonic()
         remaining = call.deadline - now
@@ -173,10 +194,21 @@
         request.headers[headers.TIMEOUT_MS] = str(int(remaining * 1000))
         pool = attempt.pool
         address = pool.address
+        # One timer serves both the patience and the limit, because nearly all attempts
+        # end before either.
+        started = self._loop.time()
+        ends = started + limit
+        attempt.timer = self._loop.call_at(
+            min(started + patience, ends),
+            self._stalled,
+            attempt,
+            ends,
+            may_give_up if patience < limit else None,
+        )
         # From here on the upstream may have seen the call.
         call.dispatched = True
         try:
-            async with asyncio.timeout(limit) as attempt.limit:
+            async with asyncio.timeout(None) as attempt.limit:
                 response = await pool.session.request(
                     request.method,
                     _url(address, request.target),
