Spare a copy of the headers and repeated parsing of load reports

Two changes with one measurement: the client library no longer copies all headers to find that it should add none, and parsed load reports are cached.

--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 import aiohttp
+from multidict import CIMultiDict
 
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.headers import AUTO_HEADERS
@@ -15,6 +16,16 @@
 MIN_CONNECTIONS = 4
 
 
+class _PlainRequest(aiohttp.ClientRequest):
+    """A request without headers of the library's own."""
+
+    _skipped = CIMultiDict((name, None) for name in AUTO_HEADERS)
+
+    def update_auto_headers(self, skip_auto_headers: object) -> None:
+        """Add nothing; the library's way copies all headers to find that out."""
+        self._skip_auto_headers = self._skipped
+
+
 class UpstreamPool:
     """Hold the connections to one upstream address."""
 
@@ -77,7 +88,7 @@
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
-            skip_auto_headers=AUTO_HEADERS,
+            request_class=_PlainRequest,
             timeout=aiohttp.ClientTimeout(
                 total=None,
                 sock_connect=self._limits.connect_timeout_s,
--- a/src/dogwoodshed/_internal/proxy/load_reports.py
+++ b/src/dogwoodshed/_internal/proxy/load_reports.py
@@ -1,6 +1,7 @@
 """Read load reports that upstreams attach to their answers."""
 
 from collections.abc import Callable, Mapping
+from functools import lru_cache
 
 from dogwoodshed._internal import registry
 from dogwoodshed._internal.routing.base import LoadReport
@@ -21,6 +22,8 @@
     return parse_orca_text(value[len(_ORCA_TEXT) :])
 
 
+# Upstreams repeat few different reports.
+@lru_cache(maxsize=4096)
 def parse_orca_text(text: str) -> LoadReport | None:
     """Parse `name=number` pairs separated by commas."""
     metrics: dict[str, float] = {}
