--- a/src/dogwoodshed/_internal/proxy/replies.py
+++ b/src/dogwoodshed/_internal/proxy/replies.py
@@ -16,6 +16,7 @@
 # A caller that takes no byte for this long has gone; its answer must not hold a slot
 # or a graceful stop for ever. A radio link can pause for several seconds.
 CALLER_STALL_S = 30.0
+SMALL_ANSWER_BYTES = 16_384
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -50,6 +51,10 @@
 
 async def _write_whole(request: web.BaseRequest, response: web.Response) -> bool:
     try:
+        if _fits_buffer(request, response):
+            await response.prepare(request)
+            await response.write_eof()
+            return True
         async with asyncio.timeout(CALLER_STALL_S):
             await response.prepare(request)
             await response.write_eof()
@@ -59,6 +64,17 @@
     return True
 
 
+def _fits_buffer(request: web.BaseRequest, response: web.Response) -> bool:
+    # A write waits only above the transport's limit of 64 KB, so that a small answer on
+    # a connection with nothing unsent needs no timer.
+    transport = request.transport
+    return (
+        transport is not None
+        and transport.get_write_buffer_size() == 0
+        and len(response.body or b"") <= SMALL_ANSWER_BYTES
+    )
+
+
 async def _stream(
     request: web.BaseRequest, answer: Answer, progress_timeout: float, *, close: bool
 ) -> tuple[web.StreamResponse, OutcomeStatus]:
