--- a/tests/features/idempotency.feature
+++ b/tests/features/idempotency.feature
@@ -54,3 +54,11 @@
     Then no charge ran twice
     And no caller got the answer to another charge
     And at least 200 charges were answered
+
+  Scenario: One gateway is killed and another pauses under charges, seed 11
+    Given 5 gateways with a time limit of 1500 ms in front of a service that takes 20 ms for an order
+    When callers send 100 charges per second for 6 seconds and repeat what they cannot settle
+    And meanwhile gateway 0 is killed, gateway 1 pauses for 2 seconds and gateway 0 returns
+    Then no charge ran twice
+    And no caller got the answer to another charge
+    And at least 400 charges were answered
--- a/tests/features/steps/idempotency_steps.py
+++ b/tests/features/steps/idempotency_steps.py
@@ -335,11 +335,37 @@
 def send_surge(context, rate, seconds):
     callers = Callers([g.address for g in context.orders.fleet.gateways], tries=4)
     flow = Flow("charge", "normal", "POST", f"/{SERVICE}", rate, keyed=True)
-    context.results = _run(context, callers.run([flow], seconds, seed=7))
+    seed = int(re.search(r"seed (\d+)", context.scenario.name)[1])
+    context.surge = context.loop.create_task(callers.run([flow], seconds, seed=seed))
+
+
+@step(
+    "meanwhile gateway {killed:d} is killed, gateway {paused:d} pauses for "
+    "{seconds:d} seconds and gateway {returned:d} returns"
+)
+def make_trouble(context, killed, paused, seconds, returned):
+    orders = context.orders
+    gateways = orders.fleet.gateways
+
+    async def make():
+        await orders.wait_until_running(100)
+        gateways[killed].send_signal(signal.SIGKILL)
+        await gateways[killed].wait()
+        await orders.wait_until_running(200)
+        gateways[paused].send_signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            gateways[paused].send_signal(signal.SIGCONT)
+        await gateways[returned].start()
+        await orders.fleet.wait_ready(gateways[returned])
+
+    _run(context, make())
 
 
 @then("no charge ran twice")
 def count_doubled_charges(context):
+    context.results = _run(context, context.surge)
     runs = _run(context, context.orders.runs())
     context.tally = tally(context.results, runs, frozenset({"charge"}))
     assert context.tally.doubled == 0, context.tally
