--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -131,7 +131,7 @@
     async def on_started(self) -> None:
         """Serve once a configuration is in force."""
         await self.wait(self._watcher.first_configuration)
-        await self._keys.join(self._settings.join_timeout_s)
+        await self.wait(self._keys.join(self._settings.join_timeout_s))
         await self._server.listen(*split_address(self._settings.listen))
         self._state = STATE_READY
         self._ready.set()
--- a/src/dogwoodshed/_internal/idempotency/__init__.py
+++ b/src/dogwoodshed/_internal/idempotency/__init__.py
@@ -8,7 +8,7 @@
 
 When the listed gateways change, or after a start, a holder grants no key whose holders
 may have changed before every listed gateway with the same list has sent it the records
-of its keys. After a start this wait ends with the retention.
+of its keys. After a start this wait ends with the longest life of a record.
 
 What remains: a repeat may run again when it arrives after the retention, or when the
 dispatcher and two of the three holders lose their memory within the retention and
--- a/src/dogwoodshed/_internal/idempotency/answers.py
+++ b/src/dogwoodshed/_internal/idempotency/answers.py
@@ -83,7 +83,8 @@
             if status is not OutcomeStatus.ANSWERED:
                 response.close()
             await answer.finish(status)
-    return Answer(None, answer.status, answer.headers, b"".join(parts))
+    answer.response, answer.body = None, b"".join(parts)
+    return answer
 
 
 class _ResumedResponse:
