--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -336,15 +336,15 @@
 class ReadWholeTest(unittest.TestCase):
     """Streaming answers of keyed calls."""
 
-    def setUp(self):
-        self.ends = []
-
     def read(self, *parts):
-        async def finish(status):
-            self.ends.append(status)
+        self.ends = ends = []
+
+        class _Answer(Answer):
+            async def finish(self, status):
+                ends.append(status)
 
         async def read(loop):
-            answer = Answer(_Response(*parts), 200, CIMultiDict(), None, finish)
+            answer = _Answer(_Response(*parts), 200, CIMultiDict(), None)
             answer = await read_whole(answer)
             if answer.response is None:
                 return answer.body
