--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -278,7 +278,7 @@
         joined = await self.wait(self._distribution.join(self._settings.join_timeout_s))
         if joined.stopped:
             return
-        await self._keys.join(self._settings.join_timeout_s)
+        await self.wait(self._keys.join(self._settings.join_timeout_s))
         await self._server.listen(*split_address(self._settings.listen))
         self._state = STATE_READY
         self._ready.set()
