--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -34,8 +34,8 @@
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.relay import Relay
 from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer, Recorder
+from dogwoodshed._internal.reporting.builder import ReportBuilder
 from dogwoodshed._internal.reporting.exchange import SummaryExchange
-from dogwoodshed._internal.reporting.page import Page, build_page
 from dogwoodshed._internal.retries.hedges import HedgePolicy
 from dogwoodshed._internal.retries.policy import RetryPolicy
 from dogwoodshed._internal.routing.base import (
@@ -144,7 +144,9 @@
         self._administration = AdministrationApi(
             self._status_sources(),
             AdministrationActions(
-                lambda: self._state == STATE_READY, self._drain, self._report
+                lambda: self._state == STATE_READY,
+                self._drain,
+                ReportBuilder(self._summaries, self._store, self._membership).page,
             ),
         )
         self._ready = asyncio.Event()
@@ -196,16 +198,6 @@
             sent_at = self._clock.monotonic() - outcome.elapsed
             self._drains.note_report(duty.address, outcome.report, sent_at)
 
-    async def _report(self) -> Page | None:
-        if self._store.current is None:
-            return None
-        return build_page(
-            await self._summaries.collect(),
-            self._store.current,
-            self._membership.members.listed,
-            self._summaries.minute_s,
-        )
-
     def _heartbeat_state(self) -> HeartbeatState:
         current = self._store.current
         digest = current.digest if current else ""
