--- a/bench/analysis.py
+++ b/bench/analysis.py
@@ -23,6 +23,8 @@
 URGENT_P99_OF_CENTRAL = 1.15
 FLOOD_URGENT_IN_TIME = 0.99
 FLOOD_URGENT_P99_OF_BASE = 1.3
+# Below this fewer than five calls lie beyond the 99.9th percentile.
+ENOUGH_FOR_P999 = 5000
 
 
 class RankSummary(NamedTuple):
@@ -133,7 +135,7 @@
             URGENT_P99_OF_BASELINE,
         ),
         _ratio(
-            f"{name} urgent p99.9 against least_in_flight",
+            f"{name} urgent p99.9{_samples(slices)} against least_in_flight",
             slices and slices.ranks["urgent"].p999_ms,
             baseline and baseline.ranks["urgent"].p999_ms,
             URGENT_P999_OF_BASELINE,
@@ -153,6 +155,12 @@
     ]
 
 
+def _samples(summary: Summary | None) -> str:
+    """Warn of a percentile that rests on a handful of calls."""
+    sent = summary.ranks["urgent"].sent if summary else ENOUGH_FOR_P999
+    return f" (of {sent} calls only)" if sent < ENOUGH_FOR_P999 else ""
+
+
 def _ratio(
     target: str, value: float | None, reference: float | None, bound: float
 ) -> Verdict:
