--- /dev/null
+++ b/tests/unit/test_bench_analysis.py
@@ -0,0 +1,76 @@
+"""Test how the benchmark of policies judges its runs."""
+
+import math
+import unittest
+
+from bench.analysis import percentile, summarise, verdicts
+from bench.cases import FLOOD, User
+from bench.measure import CallRow, Run
+
+USER = User("test", 1, 1, 100.0)
+
+
+def summary(policy, case, rows, most_probes=0):
+    """Summarise a run with these calls."""
+    run = Run(policy, case, rows, 0.1, 0.1, 0.1, 0.1, most_probes, 10.0, None, 1.0)
+    return summarise(run, USER, 10.0)
+
+
+def rows(rank, count, elapsed, flow=None, ran="yes"):
+    """Build equal calls of a rank."""
+    return [CallRow(flow or rank, rank, ran, elapsed, 5.0, 200)] * count
+
+
+class AnalysisTest(unittest.TestCase):
+    def judge(self, start, *summaries):
+        """Return the verdict on the one target that starts like this."""
+        runs = {(s.run["policy"], s.run["case"]): s for s in summaries}
+        found = [v.met for v in verdicts(runs) if v.target.startswith(start)]
+        self.assertEqual(len(found), 1)
+        return found[0]
+
+    def test_percentile_covers_the_share(self):
+        """Guards against an index that is off by one at the ends."""
+        ordered = list(range(1, 1001))
+        self.assertEqual(percentile(ordered, 0.5), 500)
+        self.assertEqual(percentile(ordered, 0.999), 999)
+        self.assertEqual(percentile([7], 0.99), 7)
+
+    def test_call_without_answer_is_endless(self):
+        """Guards against a policy that looks fast because it refuses slow calls."""
+        calls = rows("urgent", 98, 0.1) + rows("urgent", 2, 0.001, ran="no")
+        result = summary("slices", "base", calls).ranks["urgent"]
+        self.assertEqual(result.p99_ms, math.inf)
+        self.assertEqual(result.in_time, 0.98)
+
+    def test_missed_bound_is_a_miss(self):
+        """Guards against a missed or missing comparison that counts as passed."""
+        case, start = "noisy-neighbour", "noisy neighbour at 0.8: all"
+        baseline = summary("least_in_flight", case, rows("urgent", 100, 0.100))
+        good = summary("slices", case, rows("urgent", 100, 0.069))
+        bad = summary("slices", case, rows("urgent", 100, 0.071))
+        self.assertTrue(self.judge(start, baseline, good))
+        self.assertIs(self.judge(start, baseline, bad), False)
+        self.assertIsNone(self.judge(start, good))
+
+    def test_floor_counts_all_served_calls(self):
+        """Guards against a floor that leaves the flood's own calls out."""
+        start, case = "flood of urgent: normal", "flood-urgent"
+        lost = rows("normal", 100, 0.1, ran="no")
+        served = rows("normal", 20, 0.1) + lost
+        flood = rows("urgent", 80, 0.1, flow=FLOOD)
+        more = rows("urgent", 81, 0.1, flow=FLOOD)
+        self.assertTrue(self.judge(start, summary("slices", case, served + flood)))
+        self.assertIs(self.judge(start, summary("slices", case, served + more)), False)
+
+    def test_probes_over_budget_are_a_miss(self):
+        """Guards against a probe budget that any rate would meet."""
+        start = "probes"
+        within = summary("slices", "base", rows("urgent", 1, 0.1), most_probes=3)
+        over = summary("slices", "base", rows("urgent", 1, 0.1), most_probes=4)
+        self.assertTrue(self.judge(start, within))
+        self.assertIs(self.judge(start, over), False)
+
+
+if __name__ == "__main__":
+    unittest.main()
