--- a/bench/measure.py
+++ b/bench/measure.py
@@ -4,7 +4,6 @@
 import json
 import os
 import sys
-from collections.abc import Iterable
 from typing import Any, NamedTuple
 
 import aiohttp
@@ -20,6 +19,7 @@
 DATA_CENTRES = ("dc-1", "dc-2", "dc-3")
 # The callers wait for their last answers at most this long after the last call.
 TAIL_TIMEOUT_S = 60.0
+STATUS_TIMEOUT_S = 10.0
 
 
 class Plan(NamedTuple):
@@ -64,6 +64,8 @@
     most_probes: int
     counted_s: float
     control_bytes_per_s: float | None
+    # Gateways whose status page gave no answer at the end.
+    not_answering: tuple[str, ...]
     # Of the whole machine, over a minute; above its cores the machine is the limit.
     load_average: float
 
@@ -108,16 +110,18 @@
     gateways = [gateway.pid for gateway in fleet.gateways]
     processor = {pid: processor_s(pid) for pid in gateways + fleet.stand_in_pids}
     probes = await _probes(fleet)
-    traffic = await _control_bytes(fleet)
+    before = await _read_statuses(fleet)
     started = loop.time()
     answers = await _send_load(fleet, plan, case)
     elapsed = loop.time() - started
     after = await _probes(fleet)
-    traffic_after = await _control_bytes(fleet)
+    statuses = await _read_statuses(fleet)
     used = {pid: (processor_s(pid) - processor[pid]) / elapsed for pid in processor}
+    not_answering = tuple(name for name, status in statuses.items() if status is None)
     control = None
-    if traffic is not None and traffic_after is not None:
-        control = (traffic_after - traffic) / elapsed / len(gateways)
+    if not not_answering:
+        sent = _sent_bytes(statuses) - _sent_bytes(before)
+        control = sent / elapsed / len(gateways)
     rows = [CallRow(*row) for answer in answers for row in answer["results"]]
     return Run(
         policy,
@@ -130,6 +134,7 @@
         most_probes=max(b - a for a, b in zip(probes, after, strict=True)),
         counted_s=elapsed,
         control_bytes_per_s=control,
+        not_answering=not_answering,
         load_average=os.getloadavg()[0],
     )
 
@@ -183,28 +188,31 @@
     return [state["counts"].get("probes", 0) for state in states]
 
 
-async def _control_bytes(fleet: Fleet) -> int | None:
-    """Return the bytes sent between gateways, or None without a status page."""
-    total = 0
-    for gateway in fleet.gateways:
-        status = await read_status(fleet.session, gateway.administration)
-        if status is None:
-            return None
-        total += sum(_sent_bytes(status))
-    return total
+async def _read_statuses(fleet: Fleet) -> dict[str, dict[str, Any] | None]:
+    """Read the status of each gateway; None stands for no answer."""
+    statuses = await asyncio.gather(
+        *(_read_status(fleet.session, g.administration) for g in fleet.gateways)
+    )
+    names = [gateway.id for gateway in fleet.gateways]
+    return dict(zip(names, statuses, strict=True))
 
 
-async def read_status(
+async def _read_status(
     session: aiohttp.ClientSession, address: str
 ) -> dict[str, Any] | None:
-    """Return the status of a gateway, or None if it offers none."""
     try:
-        async with session.get(f"http://{address}/status") as response:
+        async with session.get(
+            f"http://{address}/status", timeout=aiohttp.ClientTimeout(STATUS_TIMEOUT_S)
+        ) as response:
             return await response.json() if response.status == 200 else None
-    except (aiohttp.ClientError, OSError):
+    except (TimeoutError, aiohttp.ClientError, OSError):
         return None
 
 
-def _sent_bytes(status: dict[str, Any]) -> Iterable[int]:
-    for peer in status.get("peers", []):
-        yield peer.get("sent_bytes", 0)
+def _sent_bytes(statuses: dict[str, dict[str, Any] | None]) -> int:
+    """Add up the bytes that gateways sent to each other."""
+    return sum(
+        peer["sent_bytes"]
+        for status in statuses.values()
+        for peer in (status or {}).get("peers", [])
+    )
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -150,6 +150,9 @@
         f"of {os.cpu_count()}",
         flush=True,
     )
+    if run["not_answering"]:
+        names = ", ".join(run["not_answering"])
+        print(f"{'':16} NO ANSWER from {names} at the end", flush=True)
 
 
 def _write(
--- a/tests/unit/test_bench_analysis.py
+++ b/tests/unit/test_bench_analysis.py
@@ -12,7 +12,7 @@
 
 def summary(policy, case, rows, most_probes=0):
     """Summarise a run with these calls."""
-    run = Run(policy, case, rows, 0.1, 0.1, 0.1, 0.1, most_probes, 10.0, None, 1.0)
+    run = Run(policy, case, rows, 0.1, 0.1, 0.1, 0.1, most_probes, 10.0, None, (), 1.0)
     return summarise(run, USER, 10.0)
 
 
