--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -42,6 +42,7 @@
         self._path = directory / f"{settings['id']}.jsonc"
         self._log = directory / f"{settings['id']}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._paused = False
 
     @property
     def id(self) -> str:
@@ -67,6 +68,10 @@
     def running(self) -> bool:
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def paused(self) -> bool:
+        return self._paused
+
     async def start(self) -> None:
         """Start the process without waiting until it serves."""
         self._path.write_text(json.dumps(self._settings), encoding="utf-8")
@@ -86,6 +91,8 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._process.send_signal(number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self._paused = number == signal.SIGSTOP
 
     async def kill(self) -> None:
         """End the process without warning."""
