--- a/src/dogwoodshed/_internal/platform/watcher.py
+++ b/src/dogwoodshed/_internal/platform/watcher.py
@@ -46,6 +46,8 @@
                 self._metrics.increment("platform.calls")
                 snapshot = await self._next(index)
             except PlatformError as error:
+                if self.should_stop:
+                    return
                 failures += 1
                 self._note_reachable(False, error)
                 await self.sleep(self._pace.backoff(failures))
