Search for repeated keys only in texts that have some

A text near the limit of 1 MB stalled every gateway at the same moment, for longer than the silence after which peers take each other for dead. The parser now tells whether any object repeats a key, and only then the text is walked.

--- a/src/dogwoodshed/_internal/configuration/document.py
+++ b/src/dogwoodshed/_internal/configuration/document.py
@@ -25,6 +25,8 @@
     source: str
     text: str
     value: Any
+    # Some object names a key twice; the value then holds the last one only.
+    has_repeats: bool = False
 
 
 class _Token(NamedTuple):
@@ -35,14 +37,22 @@
 
 def parse_document(text: str, source: str) -> Document:
     """Parse JSON with comments; raises DocumentSyntaxError."""
+    has_repeats = False
+
+    def build(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        nonlocal has_repeats
+        value = dict(pairs)
+        has_repeats = has_repeats or len(value) < len(pairs)
+        return value
+
     try:
-        value = jsonc.loads(text)
+        value = jsonc.loads(text, object_pairs_hook=build)
     except jsonc.JSONDecodeError as error:
         raise DocumentSyntaxError(source, error.lineno, error.msg) from error
     except (ValueError, RecursionError) as error:
         # Numbers of thousands of digits and nesting beyond the parser's depth.
         raise DocumentSyntaxError(source, 1, str(error)) from error
-    return Document(source, text, value)
+    return Document(source, text, value, has_repeats)
 
 
 def key_lines(text: str) -> dict[Path, int]:
--- a/src/dogwoodshed/_internal/configuration/schema.py
+++ b/src/dogwoodshed/_internal/configuration/schema.py
@@ -113,7 +113,10 @@
     lines = key_lines(document.text)
     faults = [
         Fault(document.source, line, _dotted(path), "repeated key", "each key once")
-        for path, line in duplicate_keys(document.text)
+        # The search walks the whole text, which for a large one stalls a gateway.
+        for path, line in (
+            duplicate_keys(document.text) if document.has_repeats else ()
+        )
     ]
     size = len(document.text.encode())
     if size > MAX_TEXT_BYTES:
--- a/tests/unit/test_schema.py
+++ b/tests/unit/test_schema.py
@@ -21,6 +21,16 @@
         line = text.splitlines()[faults["colour"].line - 1]
         self.assertIn("colour", line)
 
+    def test_reports_a_repeated_key_with_its_line(self):
+        """Guards against a text of which only the last of two values is used."""
+        text = json.dumps(builders.configuration_text(), indent=1)
+        text = text.replace('"path_prefix"', '"name": "other",\n "path_prefix"', 1)
+        with self.assertRaises(InvalidTextError) as raised:
+            load_configuration(text, 1, "text.jsonc")
+        faults = [f for f in raised.exception.faults if f.problem == "repeated key"]
+        self.assertEqual([fault.key for fault in faults], ["services[0].name"])
+        self.assertIn('"other"', text.splitlines()[faults[0].line - 1])
+
     def test_rejects_what_the_parser_cannot_hold(self):
         """Guards against a text that ends every gateway process at once."""
         for text in ("[" * 100_000, '{"a":' * 50_000, "1" * 5000):
