--- a/src/dogwoodshed/_internal/configuration/document.py
+++ b/src/dogwoodshed/_internal/configuration/document.py
@@ -26,6 +26,8 @@
     source: str
     text: str
     value: Any
+    # Some object names a key twice; the value then holds the last one only.
+    has_repeats: bool = False
 
 
 class _Token(NamedTuple):
@@ -36,14 +38,22 @@
 
 def parse_document(text: str, source: str) -> Document:
     """Parse JSON with comments; raises DocumentSyntaxError."""
+    has_repeats = False
+
+    def build(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+        nonlocal has_repeats
+        value = dict(pairs)
+        has_repeats = has_repeats or len(value) < len(pairs)
+        return value
+
     try:
-        value = jsonc.loads(text)
+        value = jsonc.loads(text, object_pairs_hook=build)
     except jsonc.JSONDecodeError as error:
         raise DocumentSyntaxError(source, error.lineno, error.msg) from error
     except (ValueError, RecursionError) as error:
         # Numbers of thousands of digits and nesting beyond the parser's depth.
         raise DocumentSyntaxError(source, 1, str(error)) from error
-    return Document(source, text, value)
+    return Document(source, text, value, has_repeats)
 
 
 def key_lines(text: str) -> dict[Path, int]:
@@ -89,7 +99,7 @@
             containers[-1] = (parent, index + 1)
             yield path, token.offset
         elif _is_key(containers, tokens, position):
-            path = (*containers[-1][0], jsonc.loads(token.text))
+            path = (*containers[-1][0], _unquote(token.text))
             yield path, token.offset
         if token.text == "{":
             containers.append((path, None))
@@ -99,6 +109,11 @@
             containers.pop()
 
 
+def _unquote(text: str) -> str:
+    # A parser call for each key made up half of the check of a large text.
+    return jsonc.loads(text) if "\\" in text else text[1:-1]
+
+
 def _starts_item(
     containers: list[tuple[Path, int | None]], previous: str, token: _Token
 ) -> bool:
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -43,6 +43,7 @@
         self._path = directory / f"{settings['id']}.jsonc"
         self._log = directory / f"{settings['id']}.log"
         self._process: asyncio.subprocess.Process | None = None
+        self._paused = False
 
     @property
     def id(self) -> str:
@@ -52,6 +53,10 @@
     def address(self) -> str:
         return self._settings["listen"]
 
+    @property
+    def mesh_address(self) -> str:
+        return self._settings["mesh"]["listen"]
+
     @property
     def administration(self) -> str:
         return self._settings["administration"]["listen"]
@@ -68,6 +73,10 @@
     def running(self) -> bool:
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def paused(self) -> bool:
+        return self._paused
+
     async def start(self) -> None:
         """Start the process without waiting until it serves."""
         self._path.write_text(json.dumps(self._settings), encoding="utf-8")
@@ -87,6 +96,8 @@
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process."""
         self._process.send_signal(number)
+        if number in (signal.SIGSTOP, signal.SIGCONT):
+            self._paused = number == signal.SIGSTOP
 
     async def kill(self) -> None:
         """End the process without warning."""
