--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -215,17 +215,31 @@
 
     async def _forward_detached(self, call: Call, outbound: OutboundRequest) -> Answer:
         """Forward a call that goes on when its caller leaves or its deadline passes."""
-        task = asyncio.ensure_future(self._forwarder.forward(call, outbound))
+        task = self._loop.create_task(self._forwarder.forward(call, outbound))
+        ended = self._loop.create_future()
         self._enter()
-        task.add_done_callback(lambda _: self._leave())
+
+        def finish(_: object = None) -> None:
+            if not ended.done():
+                ended.set_result(None)
+
+        def leave(_: object) -> None:
+            self._leave()
+            finish()
+
+        task.add_done_callback(leave)
+        remaining = call.deadline - self._clock.monotonic()
+        timer = self._loop.call_later(max(0.0, remaining), finish)
         try:
-            remaining = call.deadline - self._clock.monotonic()
-            await asyncio.wait({task}, timeout=max(0.0, remaining))
+            # Does what asyncio.wait does, without its sets and checks.
+            await ended
             if task.done():
                 return task.result()
         except asyncio.CancelledError:
             self._abandon(task, call)
             raise
+        finally:
+            timer.cancel()
         self._abandon(task, call)
         if call.dispatched:
             raise UpstreamTimeoutError("deadline passed")
