Look services up by prefix instead of searching all of them

Cause: the search visits every service for each call, which at the expected 280 services costs a tenth of the whole call.

--- a/src/dogwoodshed/_internal/proxy/requests.py
+++ b/src/dogwoodshed/_internal/proxy/requests.py
@@ -7,7 +7,6 @@
 from aiohttp.http import HttpVersion11
 from aiohttp.http_exceptions import HttpProcessingError
 
-from dogwoodshed._internal.configuration.model import Configuration
 from dogwoodshed._internal.exceptions import (
     ExpectationError,
     MalformedRequestError,
@@ -18,6 +17,7 @@
 from dogwoodshed._internal.proxy import headers
 from dogwoodshed._internal.proxy.body import RequestBody
 from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.proxy.routes import Routes
 from dogwoodshed._internal.settings import LimitSettings
 
 MAX_KEY_LENGTH = 255
@@ -40,12 +40,10 @@
         raise MalformedRequestError(f"{hosts} Host headers")
 
 
-def parse_call(
-    request: web.BaseRequest, configuration: Configuration | None, started: float
-) -> Call:
+def parse_call(request: web.BaseRequest, routes: Routes, started: float) -> Call:
     """Find the service and kind of a request; raises NotRunError."""
     path = request.path
-    service = configuration.find_service(path) if configuration else None
+    service = routes.find(path)
     kind = service.find_kind(request.method, path) if service else None
     if service is None or kind is None:
         raise NoRouteError(path)
@@ -61,7 +59,7 @@
         arrived=started,
         deadline=started + min(time_limit, kind.deadline),
         # A nested call is never more urgent than the call that it serves.
-        rank=min(max(rank, kind.rank.position), len(configuration.ranks) - 1),
+        rank=min(max(rank, kind.rank.position), len(routes.configuration.ranks) - 1),
         depth=min(MAX_DEPTH, int(_number(request, headers.DEPTH, 0))),
         key=key,
     )
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -27,6 +27,7 @@
     send_problem,
 )
 from dogwoodshed._internal.proxy.requests import check_request, parse_call, read_body
+from dogwoodshed._internal.proxy.routes import Routes
 from dogwoodshed._internal.routing.base import OutcomeStatus
 from dogwoodshed._internal.settings import LimitSettings
 
@@ -80,6 +81,7 @@
         metrics: Metrics,
     ) -> None:
         self._store = store
+        self._routes = Routes(None)
         self._forwarder = forwarder
         self._recorder = recorder
         self._limits = limits
@@ -196,7 +198,9 @@
         self, request: web.BaseRequest, started: float
     ) -> tuple[Call, OutboundRequest]:
         check_request(request)
-        call = parse_call(request, self._store.current, started)
+        if self._routes.configuration is not self._store.current:
+            self._routes = Routes(self._store.current)
+        call = parse_call(request, self._routes, started)
         body = await read_body(
             request, self._limits, call.deadline - self._clock.monotonic()
         )
