Take back a cancellation that came after the first attempt had ended

Cause: found by reading: were the library to turn the cancellation of a beaten attempt into an error, the task would keep a count of cancellations that are not the caller's. No run showed it.

--- a/src/dogwoodshed/_internal/proxy/hedging.py
+++ b/src/dogwoodshed/_internal/proxy/hedging.py
@@ -40,13 +40,20 @@
             raise
         except CallError as error:
             self._open = False
+            self._withdraw()
             return await self._rescue(error)
         finally:
             timer.cancel()
         self._open = False
+        self._withdraw()
         self._drop()
         return answer
 
+    def _withdraw(self) -> None:
+        """Take a cancellation back that came after the first attempt had ended."""
+        if self._won:
+            self._task.uncancel()
+
     def _begin(self) -> None:
         if self._open and self._allowed():
             self._hedge = asyncio.ensure_future(self._start())
