--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -27,6 +27,7 @@
     send_problem,
 )
 from dogwoodshed._internal.proxy.requests import check_request, parse_call, read_body
+from dogwoodshed._internal.proxy.routes import Routes
 from dogwoodshed._internal.routing.base import OutcomeStatus
 from dogwoodshed._internal.settings import LimitSettings
 
@@ -86,6 +87,7 @@
         metrics: Metrics,
     ) -> None:
         self._store = store
+        self._routes = Routes(None)
         self._forwarder = forwarder
         self._recorder = recorder
         self._limits = limits
@@ -174,7 +176,9 @@
         call: Call | None = None
         try:
             check_request(request)
-            call = parse_call(request, self._store.current, started)
+            if self._routes.configuration is not self._store.current:
+                self._routes = Routes(self._store.current)
+            call = parse_call(request, self._routes, started)
             outbound = await self._read(request, call)
             answer = await self._forward(call, outbound)
             response, end = await send_answer(
@@ -216,17 +220,31 @@
 
     async def _forward_detached(self, call: Call, outbound: OutboundRequest) -> Answer:
         """Forward a call that goes on when its caller leaves or its deadline passes."""
-        task = asyncio.ensure_future(self._forwarder.forward(call, outbound))
+        task = self._loop.create_task(self._forwarder.forward(call, outbound))
+        ended = self._loop.create_future()
         self._enter()
-        task.add_done_callback(lambda _: self._leave())
+
+        def finish(_: object = None) -> None:
+            if not ended.done():
+                ended.set_result(None)
+
+        def leave(_: object) -> None:
+            self._leave()
+            finish()
+
+        task.add_done_callback(leave)
+        remaining = call.deadline - self._clock.monotonic()
+        timer = self._loop.call_later(max(0.0, remaining), finish)
         try:
-            remaining = call.deadline - self._clock.monotonic()
-            await asyncio.wait({task}, timeout=max(0.0, remaining))
+            # Does what asyncio.wait does, without its sets and checks.
+            await ended
             if task.done():
                 return task.result()
         except asyncio.CancelledError:
             self._abandon(task, call)
             raise
+        finally:
+            timer.cancel()
         self._abandon(task, call)
         if call.dispatched:
             raise UpstreamTimeoutError("deadline passed")
