--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -119,9 +119,8 @@
         )
 
     def _drain(self, address: str, draining: bool) -> None:
-        configuration = self._store.current
-        services = configuration.services if configuration else ()
-        if not any(u.address == address for s in services for u in s.upstreams):
+        known = self._router.snapshot().upstreams
+        if not any(upstream.address == address for upstream in known):
             raise UnknownUpstreamError(f"no service lists the upstream {address}")
         self._router.set_draining(address, draining)
 
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -154,7 +154,7 @@
     exclude: tuple[tuple[str, int], ...] = ()
 
 
-class Sighting(NamedTuple):
+class Presence(NamedTuple):
     """Minutes over which a peer was live; both ends are included."""
 
     gateway: str
@@ -170,7 +170,7 @@
     # Key to ask on from; empty after the last part.
     next: tuple[Any, ...] = ()
     # In the last part: incarnations that were live and are not excluded.
-    sightings: tuple[Sighting, ...] = ()
+    presences: tuple[Presence, ...] = ()
 
 
 class Acknowledged(NamedTuple):
--- a/src/dogwoodshed/_internal/reporting/coverage.py
+++ b/src/dogwoodshed/_internal/reporting/coverage.py
@@ -4,7 +4,7 @@
 from itertools import zip_longest
 from typing import NamedTuple
 
-from dogwoodshed._internal.mesh.messages import Sighting
+from dogwoodshed._internal.mesh.messages import Presence
 from dogwoodshed._internal.reporting.merge import Day, SeenIncarnation
 
 
@@ -48,7 +48,7 @@
 
 
 def measure_coverage(
-    day: Day, listed: Iterable[str], sightings: Iterable[Sighting] = ()
+    day: Day, listed: Iterable[str], presences: Iterable[Presence] = ()
 ) -> Coverage:
     """Compare the minutes of a day with those in which gateways should have run."""
     listed = set(listed)
@@ -57,11 +57,11 @@
     for seen in day.seen:
         by_gateway.setdefault(seen.gateway, []).append(seen)
     incarnations = {seen[:2]: seen for seen in day.seen}
-    sighted: dict[str, set[int]] = {}
-    for entry in sightings:
+    present: dict[str, set[int]] = {}
+    for entry in presences:
         by_gateway.setdefault(entry.gateway, [])
-        minutes = sighted.setdefault(entry.gateway, set())
-        minutes.update(_sighted_minutes(day, entry, incarnations.get(entry[:2])))
+        minutes = present.setdefault(entry.gateway, set())
+        minutes.update(_present_minutes(day, entry, incarnations.get(entry[:2])))
     return Coverage(
         tuple(
             _gateway_coverage(
@@ -69,7 +69,7 @@
                 name,
                 incarnations,
                 listed=name in listed,
-                sighted=sighted.get(name, set()),
+                present=present.get(name, set()),
                 first=first,
             )
             for name, incarnations in sorted(by_gateway.items())
@@ -83,11 +83,11 @@
     incarnations: list[SeenIncarnation],
     *,
     listed: bool,
-    sighted: set[int],
+    present: set[int],
     first: int,
 ) -> GatewayCoverage:
     covered = set().union(*(seen.minutes for seen in incarnations))
-    expected = set(sighted)
+    expected = set(present)
     if listed and not incarnations:
         # A listed gateway that never reported is a hole as long as the day is.
         expected.update(range(first, day.until))
@@ -103,7 +103,7 @@
     )
 
 
-def _sighted_minutes(day: Day, entry: Sighting, seen: SeenIncarnation | None) -> range:
+def _present_minutes(day: Day, entry: Presence, seen: SeenIncarnation | None) -> range:
     first, last = entry.first, entry.last
     if seen is None:
         # It may have served callers up to the end of the minute that it left in.
--- a/src/dogwoodshed/_internal/reporting/exchange.py
+++ b/src/dogwoodshed/_internal/reporting/exchange.py
@@ -13,7 +13,7 @@
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.mesh.messages import (
     Acknowledged,
-    Sighting,
+    Presence,
     Summary,
     SummaryReply,
     SummaryRequest,
@@ -21,16 +21,16 @@
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.reporting.merge import Day, merge_day
+from dogwoodshed._internal.reporting.presence import PresenceLog
 from dogwoodshed._internal.reporting.recorder import ClosedMinute, MinuteRecorder
-from dogwoodshed._internal.reporting.sightings import SightingLog
 from dogwoodshed._internal.reporting.store import DAY_MINUTES, SummaryStore
 from dogwoodshed._internal.reporting.summary import Block, encode_counts
 from dogwoodshed._internal.settings import Settings
 
 # Two of the three may be lost with the gateway itself.
-KEEPERS = 3
-# Minutes that go to the same keepers: those that are later merged into one block.
-KEEPER_TERM = 60
+HOLDERS = 3
+# Minutes that go to the same holders: those that are later merged into one block.
+HOLDER_TERM = 60
 REQUEST_TIMEOUT_S = 2.0
 # Heartbeats are dropped once 64 KiB wait for a peer, so a part stays below that.
 PART_BYTES = 48 * 1024
@@ -43,7 +43,7 @@
 
     day: Day
     silent: tuple[str, ...]
-    sightings: tuple[Sighting, ...] = ()
+    presences: tuple[Presence, ...] = ()
 
 
 class SummaryExchange(Service):
@@ -61,7 +61,7 @@
     ) -> None:
         super().__init__()
         self._settings = settings.reporting
-        self._share = settings.enabled("summary_keepers")
+        self._share = settings.enabled("summary_holders")
         self._hand_over = settings.enabled("summary_hand_over")
         self._mesh = mesh
         self._membership = membership
@@ -69,7 +69,7 @@
         self._metrics = metrics
         self._recorder = MinuteRecorder(self._settings.minute_s, clock)
         self._store = SummaryStore(self._settings.store_bytes, metrics)
-        self._sightings = SightingLog()
+        self._presences = PresenceLog()
         self._cached: CollectedDay | None = None
         self._collecting = asyncio.Lock()
         self._publishing: set[asyncio.Task[None]] = set()
@@ -94,7 +94,7 @@
             await self.sleep(self._recorder.until_next_minute)
             closed = self._recorder.close_minute()
             if closed is not None:
-                self._sightings.note(closed.minute, self._live().items())
+                self._presences.note(closed.minute, self._live().items())
                 task = asyncio.ensure_future(self._publish(closed, final=False))
                 self._publishing.add(task)
                 task.add_done_callback(self._publishing.discard)
@@ -127,15 +127,15 @@
     async def _collect(self, until: int) -> CollectedDay:
         since = until - DAY_MINUTES
         live = self._live()
-        blocks, sightings, silent = await self._ask_all(since, tuple(live), live)
+        blocks, presences, silent = await self._ask_all(since, tuple(live), live)
         if silent:
-            # The summaries of those that do not answer are with their keepers.
+            # The summaries of those that do not answer are with their holders.
             others = tuple(peer for peer in live if peer not in silent)
             answering = {peer: live[peer] for peer in others}
             blocks += (await self._ask_all(since, others, answering))[0]
         day = await run_between_tasks(merge_day([*blocks, *self._store], since, until))
-        sightings |= set(self._sightings.sightings())
-        return CollectedDay(day, silent, tuple(sorted(sightings)))
+        presences |= set(self._presences.presences())
+        return CollectedDay(day, silent, tuple(sorted(presences)))
 
     def _live(self) -> dict[str, int]:
         views = self._membership.views
@@ -143,14 +143,14 @@
 
     async def _ask_all(
         self, since: int, peers: tuple[str, ...], live: dict[str, int]
-    ) -> tuple[list[Block], set[Sighting], tuple[str, ...]]:
+    ) -> tuple[list[Block], set[Presence], tuple[str, ...]]:
         exclude = ((self._mesh.id, self._mesh.incarnation), *live.items())
         answers = await asyncio.gather(
             *(self._ask(peer, since, exclude) for peer in peers),
             return_exceptions=True,
         )
         blocks: list[Block] = []
-        sightings: set[Sighting] = set()
+        presences: set[Presence] = set()
         silent = []
         for peer, answer in zip(peers, answers, strict=True):
             if isinstance(answer, MeshError):
@@ -159,12 +159,12 @@
                 raise answer
             else:
                 blocks += answer[0]
-                sightings.update(answer[1])
-        return blocks, sightings, tuple(silent)
+                presences.update(answer[1])
+        return blocks, presences, tuple(silent)
 
     async def _ask(
         self, peer: str, since: int, exclude: tuple[tuple[str, int], ...]
-    ) -> tuple[list[Block], tuple[Sighting, ...]]:
+    ) -> tuple[list[Block], tuple[Presence, ...]]:
         blocks: list[Block] = []
         after: tuple[Any, ...] = ()
         while True:
@@ -173,7 +173,7 @@
             )
             blocks += (Block.from_bytes(data) for data in reply.summaries)
             if not reply.next:
-                return blocks, reply.sightings
+                return blocks, reply.presences
             after = reply.next
 
     async def _publish(self, closed: ClosedMinute, *, final: bool) -> None:
@@ -184,21 +184,21 @@
         self._store.add(block)
         self._metrics.increment("report.minutes_closed")
         if self._share:
-            await self._send_to_keepers(block)
+            await self._send_to_holders(block)
         self._store.expire(closed.minute)
-        self._sightings.expire(closed.minute - DAY_MINUTES)
+        self._presences.expire(closed.minute - DAY_MINUTES)
         await run_between_tasks(self._store.compact(set(self._live().items())))
 
-    async def _send_to_keepers(self, block: Block) -> None:
+    async def _send_to_holders(self, block: Block) -> None:
         candidates = list(
-            keepers_in_order(
+            holders_in_order(
                 block, set(self._membership.members.live) - {self._mesh.id}
             )
         )
         message = Summary((block.encode(),))
         acknowledged = 0
-        while candidates and acknowledged < KEEPERS:
-            missing = KEEPERS - acknowledged
+        while candidates and acknowledged < HOLDERS:
+            missing = HOLDERS - acknowledged
             chosen, candidates = candidates[:missing], candidates[missing:]
             answers = await asyncio.gather(
                 *(
@@ -210,8 +210,8 @@
             acknowledged += sum(isinstance(a, Acknowledged) for a in answers)
         if acknowledged:
             self._metrics.increment("report.minutes_acknowledged")
-        if acknowledged < KEEPERS:
-            self._metrics.increment("report.minutes_with_few_keepers")
+        if acknowledged < HOLDERS:
+            self._metrics.increment("report.minutes_with_few_holders")
 
     def _keep(self, peer_id: str, message: Summary) -> Acknowledged | None:
         try:
@@ -239,13 +239,13 @@
             summaries.append(data)
             size += len(data)
             last = block.key
-        return SummaryReply(tuple(summaries), (), self._sightings.sightings(excluded))
+        return SummaryReply(tuple(summaries), (), self._presences.presences(excluded))
 
 
-def keepers_in_order(block: Block, peers: Iterable[str]) -> Iterable[str]:
+def holders_in_order(block: Block, peers: Iterable[str]) -> Iterable[str]:
     """Return peers by falling rendezvous score for a gateway and its hour."""
     # To be replaced by `_internal.rendezvous` once that is merged.
-    term = f"{block.gateway}/{block.start // KEEPER_TERM}"
+    term = f"{block.gateway}/{block.start // HOLDER_TERM}"
 
     def score(peer: str) -> bytes:
         return hashlib.blake2b(f"{term}/{peer}".encode(), digest_size=8).digest()
--- a/src/dogwoodshed/_internal/reporting/page.py
+++ b/src/dogwoodshed/_internal/reporting/page.py
@@ -133,7 +133,7 @@
     for row_key, tally_keys in sorted(keys.items()):
         rows.append(_build_row(day, configuration, allowances, row_key, tally_keys))
         yield
-    coverage = measure_coverage(day, listed, collected.sightings)
+    coverage = measure_coverage(day, listed, collected.presences)
     return Page(
         configuration.fleet,
         configuration.revision,
--- a/src/dogwoodshed/_internal/reporting/sightings.py
+++ b/src/dogwoodshed/_internal/reporting/presence.py
@@ -2,19 +2,19 @@
 
 from collections.abc import Container, Iterable
 
-from dogwoodshed._internal.mesh.messages import Sighting
+from dogwoodshed._internal.mesh.messages import Presence
 
 
-class SightingLog:
+class PresenceLog:
     """Remember the live peers of the day by ranges of minutes.
 
-    Without it, a gateway whose summaries were lost with all their keepers would be
+    Without it, a gateway whose summaries were lost with all their holders would be
     missing from the report without a trace.
     """
 
     def __init__(self) -> None:
-        self._open: dict[tuple[str, int], Sighting] = {}
-        self._ended: list[Sighting] = []
+        self._open: dict[tuple[str, int], Presence] = {}
+        self._ended: list[Presence] = []
 
     def note(self, minute: int, live: Iterable[tuple[str, int]]) -> None:
         """Note the incarnations that are live at the end of a minute."""
@@ -26,7 +26,7 @@
                 continue
             if earlier is not None:
                 self._ended.append(earlier)
-            current[key] = Sighting(*key, minute, minute)
+            current[key] = Presence(*key, minute, minute)
         self._ended += self._open.values()
         self._open = current
 
@@ -34,10 +34,10 @@
         """Forget what ended before a minute."""
         self._ended = [entry for entry in self._ended if entry.last >= before]
 
-    def sightings(
+    def presences(
         self, exclude: Container[tuple[str, int]] = ()
-    ) -> tuple[Sighting, ...]:
-        """Return the sightings of incarnations that are not excluded."""
+    ) -> tuple[Presence, ...]:
+        """Return the presences of incarnations that are not excluded."""
         return tuple(
             entry
             for entry in (*self._ended, *self._open.values())
--- a/src/dogwoodshed/_internal/reporting/store.py
+++ b/src/dogwoodshed/_internal/reporting/store.py
@@ -29,7 +29,7 @@
 
 
 class SummaryStore:
-    """Hold blocks of this gateway and of the peers that chose it as a keeper."""
+    """Hold blocks of this gateway and of the peers that chose it as a holder."""
 
     def __init__(self, max_bytes: int, metrics: Metrics) -> None:
         self._max_bytes = max_bytes
--- a/src/dogwoodshed/_internal/reporting/words.py
+++ b/src/dogwoodshed/_internal/reporting/words.py
@@ -53,21 +53,21 @@
 def first_line(page: Page) -> str:
     """Say whether the day went well for callers and, if not, where and when."""
     if not page.calls:
-        return f"No calls were recorded today{_reserve(page)}."
+        return f"No calls were recorded today{_coverage_clause(page)}."
     missed = page.missed_rows
     if not missed:
         services = {row.service for row in page.rows}
         noun = "service" if len(services) == 1 else "services"
         return (
             f"Today went well for callers: {len(services)} {noun} met the objective "
-            f"in every rank{_bad_spell(page)}{_reserve(page)}."
+            f"in every rank{_notable_period(page)}{_coverage_clause(page)}."
         )
     text = f"Today did not go well for callers of {_miss(missed[0], page)}"
     if len(missed) > 1:
         others = ", ".join(f"{row.service} ({row.rank_name})" for row in missed[1:4])
         more = f" and {len(missed) - 4} more" if len(missed) > 4 else ""
         text += f"; also missed: {others}{more}"
-    return f"{text}{_reserve(page)}."
+    return f"{text}{_coverage_clause(page)}."
 
 
 def _miss(row: Row, page: Page) -> str:
@@ -78,7 +78,7 @@
     )
 
 
-def _bad_spell(page: Page) -> str:
+def _notable_period(page: Page) -> str:
     """Mention a short time that used much of a budget on a day that went well."""
     row = max(page.rows, key=lambda row: row.budget_used_in_worst)
     if row.budget_used_in_worst < NOTABLE_SHARE:
@@ -90,7 +90,7 @@
     )
 
 
-def _reserve(page: Page) -> str:
+def _coverage_clause(page: Page) -> str:
     coverage = page.coverage
     if coverage.expected and not coverage.complete:
         return f", as far as the {percent(coverage.share)} of host-minutes covered show"
