--- /dev/null
+++ b/tests/unit/test_tokens.py
@@ -0,0 +1,46 @@
+"""Test when the administration API asks for a token, and which it takes."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from dogwoodshed._internal.administration.tokens import TokenCheck, read_token
+from dogwoodshed._internal.exceptions import InvalidTokenFileError, MissingTokenError
+from dogwoodshed._internal.settings import AdministrationSettings
+
+TOKEN = "0123456789abcdef"
+
+
+class TokenTest(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = Path(directory.name) / "token"
+
+    def test_only_loopback_numbers_go_without_a_token(self):
+        """Guards against an API open to the network by a name or an empty address."""
+        for listen in ("127.0.0.1:1", "127.8.0.1:1", "[::1]:1"):
+            TokenCheck.from_settings(AdministrationSettings(listen=listen))
+        for listen in ("0.0.0.0:1", "[::]:1", "10.0.0.1:1", "localhost:1"):
+            with self.assertRaises(MissingTokenError):
+                TokenCheck.from_settings(AdministrationSettings(listen=listen))
+
+    def test_takes_the_whole_token_only(self):
+        """Guards against a prefix, another scheme or an odd byte that passes."""
+        check = TokenCheck(TOKEN)
+        self.assertTrue(check.allows(f"Bearer {TOKEN}"))
+        for given in ("", "Bearer ", TOKEN, f"Bearer {TOKEN}0", "Bearer \udcff"):
+            self.assertFalse(check.allows(given), given)
+
+    def test_refuses_unusable_token_files(self):
+        """Guards against a gateway that is protected by an empty or short token."""
+        self.path.write_text(f"{TOKEN}\n", encoding="ascii")
+        self.assertEqual(read_token(str(self.path)), TOKEN)
+        for text in ("", "\n", "short", "two words in one line"):
+            self.path.write_text(text, encoding="ascii")
+            with self.assertRaises(InvalidTokenFileError):
+                read_token(str(self.path))
+
+
+if __name__ == "__main__":
+    unittest.main()
