Assign slots cheaply and seldom, and share connections with the listed fleet

A gateway that knew its peers only from the host list took all connections of an upstream for itself; it now follows the list.

--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -225,8 +225,11 @@
     async def on_start(self) -> None:
         """Start the parts, the listening socket last."""
         settings = self._settings
-        fleet_size = len(settings.mesh.peers) + 1
+        fleet_size = len(self._membership.members.listed)
         self._pools = UpstreamPools(settings.limits, fleet_size, self._metrics)
+        self._membership.subscribe(
+            lambda members: self._pools.set_fleet_size(len(members.listed))
+        )
         router = GuardedRouter(self._router, self._catch_up, self._drains, self._clock)
         sender = Sender(
             router,
--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -130,6 +130,17 @@
             self._metrics.increment("connections.pool_replaced")
             pool.retire()
 
+    def set_fleet_size(self, size: int) -> None:
+        """Share the connections of each upstream among more gateways.
+
+        A smaller fleet changes nothing, since lost gateways usually come back.
+        """
+        if size > self._fleet_size:
+            self._fleet_size = size
+            for pool in list(self._pools.values()):
+                del self._pools[pool.address]
+                pool.retire()
+
     async def close(self) -> None:
         """Close all connections."""
         for pool in self._pools.values():
--- a/src/dogwoodshed/_internal/routing/assignment.py
+++ b/src/dogwoodshed/_internal/routing/assignment.py
@@ -4,6 +4,10 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+# The golden ratio in 64 bits, odd, as in Fibonacci hashing.
+_MULTIPLIER = 0x9E3779B97F4A7C15
+_MASK = (1 << 64) - 1
+
 
 class SlotId(NamedTuple):
     """A slot: one of the calls that an upstream runs at a time."""
@@ -30,36 +34,59 @@
     """
     if not gateways:
         return {}
-    quota = _quotas(len(slots), gateways)
+    hashes = {gateway.id: _digest(gateway.id) for gateway in gateways}
+    quota = _quotas(len(slots), gateways, hashes)
+    near = _by_data_centre(gateways)
     assignment: dict[SlotId, str] = {}
     remaining = []
-    for slot, data_centre in sorted(slots, key=lambda entry: _score("slot", entry[0])):
-        near = [g for g in gateways if g.data_centre == data_centre and quota[g.id]]
-        if near:
-            assignment[slot] = _take(slot, near, quota)
+    hashed = sorted((_digest(*slot), slot, place) for slot, place in slots)
+    for slot_hash, slot, data_centre in hashed:
+        winner = _winner(slot_hash, near.get(data_centre, ()), quota, hashes)
+        if winner is None:
+            remaining.append((slot_hash, slot))
         else:
-            remaining.append(slot)
-    for slot in remaining:
-        assignment[slot] = _take(slot, [g for g in gateways if quota[g.id]], quota)
+            assignment[slot] = winner
+    for slot_hash, slot in remaining:
+        assignment[slot] = _winner(slot_hash, list(hashes), quota, hashes)
     return assignment
 
 
-def _quotas(count: int, gateways: Sequence[Assignee]) -> dict[str, int]:
+def _quotas(
+    count: int, gateways: Sequence[Assignee], hashes: Mapping[str, int]
+) -> dict[str, int]:
     base, extra = divmod(count, len(gateways))
-    order = sorted(gateways, key=lambda gateway: _score("quota", gateway.id))
-    return {
-        gateway.id: base + (position < extra) for position, gateway in enumerate(order)
-    }
-
-
-def _take(slot: SlotId, candidates: Sequence[Assignee], quota: dict[str, int]) -> str:
-    winner = max(candidates, key=lambda gateway: _score(gateway.id, slot)).id
-    quota[winner] -= 1
-    return winner
-
-
-def _score(*parts: object) -> bytes:
-    return hashlib.blake2b(repr(parts).encode(), digest_size=8).digest()
+    order = sorted((gateway.id for gateway in gateways), key=hashes.__getitem__)
+    return {name: base + (position < extra) for position, name in enumerate(order)}
+
+
+def _by_data_centre(gateways: Sequence[Assignee]) -> dict[str, list[str]]:
+    names: dict[str, list[str]] = {}
+    for gateway in gateways:
+        names.setdefault(gateway.data_centre, []).append(gateway.id)
+    return names
+
+
+def _winner(
+    slot_hash: int,
+    candidates: Sequence[str],
+    quota: dict[str, int],
+    hashes: Mapping[str, int],
+) -> str | None:
+    best, best_score = None, -1
+    for name in candidates:
+        if quota[name]:
+            # Multiplicative mixing of two good hashes costs a tenth of a third hash.
+            score = (slot_hash ^ hashes[name]) * _MULTIPLIER & _MASK
+            if score > best_score:
+                best, best_score = name, score
+    if best is not None:
+        quota[best] -= 1
+    return best
+
+
+def _digest(*parts: object) -> int:
+    text = "/".join(map(str, parts)).encode()
+    return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest())
 
 
 def slots_of(assignment: Mapping[SlotId, str], gateway_id: str) -> set[SlotId]:
--- a/src/dogwoodshed/_internal/routing/slices.py
+++ b/src/dogwoodshed/_internal/routing/slices.py
@@ -1,5 +1,7 @@
 """Route on slots that are divided among the gateways and lent where needed."""
 
+import asyncio
+
 from dogwoodshed._internal import registry
 from dogwoodshed._internal.configuration.model import Configuration, Rank, Service
 from dogwoodshed._internal.exceptions import NoUpstreamError
@@ -28,6 +30,8 @@
 # With a larger share of the gateways silent at once, a partition is more likely than
 # that many failures, and the other side still uses its slots.
 PARTITION_SHARE = 0.25
+# While a fleet starts or is replaced, members change many times a second.
+ASSIGN_INTERVAL_S = 0.1
 
 # Mechanisms that a setting can switch off, to show what they are for.
 FEATURE_FLOORS = "floors"
@@ -54,6 +58,8 @@
         self._configuration: Configuration | None = None
         self._members = context.membership.members
         self._draining: set[str] = set()
+        self._assigned_at = float("-inf")
+        self._assign_timer: asyncio.TimerHandle | None = None
         self._lender = Lender(self._mesh, self._clock, self._metrics)
         self._mesh.subscribe(Borrow, self._answer_borrow)
         self._mesh.subscribe(Returned, self._note_returned)
@@ -104,7 +110,7 @@
         live = frozenset(members.live)
         for slots in self._services.values():
             self._lender.reclaim(slots, live)
-        self._assign(immediately=False)
+        self._assign_soon()
 
     def set_draining(self, address: str, draining: bool) -> None:
         """Stop or resume new work for an upstream."""
@@ -216,10 +222,25 @@
         slots.table.set_owned(slots.service, {}, 0.0)
         del self._borrowers[name]
 
+    def _assign_soon(self) -> None:
+        """Assign the slots now, or a little later if that was just done."""
+        if self._assign_timer is not None:
+            return
+        delay = self._assigned_at + ASSIGN_INTERVAL_S - self._clock.monotonic()
+        if delay <= 0:
+            self._assign(immediately=False)
+        else:
+            loop = asyncio.get_running_loop()
+            self._assign_timer = loop.call_later(delay, self._assign_late)
+
+    def _assign_late(self) -> None:
+        self._assign_timer = None
+        self._assign(immediately=False)
+
     def _assign(self, *, immediately: bool) -> None:
         if self._configuration is None:
             return
-        now = self._clock.monotonic()
+        now = self._assigned_at = self._clock.monotonic()
         # Others may still use slots that pass to this gateway until they have heard
         # of the same change.
         settle = 0.0 if immediately else 2 * self._settings.mesh.heartbeat_s
