Give the fleet its floors where callers are spread unevenly

Each gateway kept the floor of its own slots, but a gateway with few calls of a rank cannot use its part. Change: a rank that waits here and not at the peers gets a larger share here, by the queue lengths in heartbeats; a call that times out does not count against its floor.

--- a/src/dogwoodshed/_internal/admission/queue.py
+++ b/src/dogwoodshed/_internal/admission/queue.py
@@ -62,6 +62,7 @@
     """
 
     def __init__(self, floor_share: float) -> None:
+        self._configured_floor = floor_share
         self._floor_share = floor_share
         self._credit = 0.0
         self._heap: list[tuple[int, float, int, Waiter]] = []
@@ -79,6 +80,14 @@
         """Tell whether the floor is owed a dispatch by now."""
         return self._credit + self._floor_share >= 1 - ROUNDING
 
+    def scale_floor(self, factor: float) -> None:
+        """Set the floor to a multiple of the configured one."""
+        self._floor_share = self._configured_floor * factor
+
+    def refund(self) -> None:
+        """Take back the charge for a dispatch that brought no answer."""
+        self._credit = min(MOST_CREDIT, self._credit + 1)
+
     def earn(self) -> None:
         """Add the floor's share of one dispatch."""
         self._credit = min(MOST_CREDIT, self._credit + self._floor_share)
@@ -158,6 +167,14 @@
         self.remove(victim)
         return victim
 
+    def scale_floor(self, rank: int, factor: float) -> None:
+        """Set the floor of a rank to a multiple of the configured one."""
+        self._ranks[rank].scale_floor(factor)
+
+    def refund(self, rank: int) -> None:
+        """Take back the charge for a dispatch that brought no answer."""
+        self._ranks[rank].refund()
+
     def pop(self) -> Waiter | None:
         """Take the next call."""
         position = self._next_rank()
--- a/src/dogwoodshed/_internal/routing/service_slots.py
+++ b/src/dogwoodshed/_internal/routing/service_slots.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from dogwoodshed._internal.admission.queue import RankedQueue, Waiter
 from dogwoodshed._internal.clock import Clock
@@ -40,6 +40,8 @@
 # Comparing more free slots hardly finds a better one.
 MOST_COMPARED = 8
 LOOK_AGAIN_SERVICE_TIMES = 0.25
+# More would let a rank that waits at one gateway alone take most of its slots.
+MOST_FLOOR_FACTOR = 2.0
 # A call excluded from some upstreams must not hold up those behind it.
 MOST_SKIPPED = 8
 
@@ -138,6 +140,17 @@
             self._health.pop(address, None)
         self._service = service
 
+    def balance_floors(self, peers: Sequence[ServiceLoad]) -> None:
+        """Raise the floors of ranks that wait here and not at the peers.
+
+        A floor is a share of the fleet's dispatches. Where a rank does not wait, its
+        calls may be fewer than the floor, and the rest is owed where it waits.
+        """
+        for rank in range(len(self._throughput)):
+            waiting = sum(1 for load in peers if _waits(load, rank))
+            factor = (1 + len(peers)) / (1 + waiting)
+            self._queue.scale_floor(rank, min(MOST_FLOOR_FACTOR, factor))
+
     def load(self) -> ServiceLoad:
         """Return the load for the heartbeat."""
         now = self._clock.monotonic()
@@ -188,6 +201,8 @@
         if outcome.status is OutcomeStatus.REFUSED:
             self._metrics.increment("upstreams.refused")
         if isinstance(slot, HeldSlot):
+            if outcome.status is OutcomeStatus.TIMED_OUT:
+                self._queue.refund(slot.rank)
             self.free_slot(slot)
 
     def free_slot(self, slot: HeldSlot) -> None:
@@ -281,6 +296,7 @@
 
     def _take(self, slot: HeldSlot, call: Call) -> HeldSlot:
         self._table.occupy(slot)
+        slot.rank = call.rank
         self._throughput[call.rank].note(self._clock.monotonic())
         self._note_idle()
         return slot
@@ -344,6 +360,10 @@
         self.serve()
 
 
+def _waits(load: ServiceLoad, rank: int) -> bool:
+    return rank < len(load.queued) and load.queued[rank] > 0
+
+
 def find_upstream(service: Service, address: str) -> Upstream | None:
     """Return the upstream of a service with this address."""
     for upstream in service.upstreams:
--- a/src/dogwoodshed/_internal/routing/slices.py
+++ b/src/dogwoodshed/_internal/routing/slices.py
@@ -146,8 +146,17 @@
     def loads(self) -> tuple[ServiceLoad, ...]:
         """Return the load by service for the heartbeat."""
         live = frozenset(self._members.live)
-        for slots in self._services.values():
+        views = self._membership.views.values()
+        for position, name in enumerate(self._order):
+            slots = self._services[name]
             self._lender.reclaim(slots, live)
+            slots.balance_floors(
+                [
+                    view.heartbeat.loads[position]
+                    for view in views
+                    if position < len(view.heartbeat.loads)
+                ]
+            )
         return tuple(self._services[name].load() for name in self._order)
 
     def snapshot(self) -> RouterStatus:
--- a/src/dogwoodshed/_internal/routing/slots.py
+++ b/src/dogwoodshed/_internal/routing/slots.py
@@ -18,6 +18,7 @@
         "lease_id",
         "lender",
         "owned",
+        "rank",
         "usable_from",
     )
 
@@ -27,6 +28,8 @@
         self.owned = False
         self.busy = False
         self.usable_from = 0.0
+        # The rank of the call that runs on the slot.
+        self.rank = 0
         # Set while the slot is lent to a peer.
         self.borrower: str | None = None
         # Set while the slot is borrowed from a peer.
--- a/tests/unit/test_service_slots.py
+++ b/tests/unit/test_service_slots.py
@@ -7,6 +7,7 @@
     DeadlineExpiredInQueueError,
     DeadlineUnreachableError,
 )
+from dogwoodshed._internal.mesh.messages import ServiceLoad
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.routing.assignment import SlotId
 from dogwoodshed._internal.routing.base import LoadReport, Outcome, OutcomeStatus
@@ -219,6 +220,27 @@
             waiting.cancel()
         await asyncio.gather(*late, return_exceptions=True)
 
+    async def test_floor_moves_to_the_gateways_where_a_rank_waits(self):
+        """Guards against a floor missed because callers are spread unevenly."""
+        idle = ServiceLoad(0.0, (5, 0, 0))
+        waiting = ServiceLoad(0.0, (5, 0, 3))
+        self.slots.balance_floors([idle, idle, waiting])
+        self.own(0)
+        slot = await self.acquire()
+        urgent = [self.acquire("write", time_left=60.0) for _ in range(40)]
+        bulk = [self.acquire("export", time_left=60.0) for _ in range(10)]
+        await asyncio.sleep(0)
+        for _ in range(30):
+            self.slots.release(slot, answered())
+            await asyncio.sleep(0)
+            done = next(waiting for waiting in urgent + bulk if waiting.done())
+            slot = done.result()
+            (urgent if done in urgent else bulk).remove(done)
+        # Two of four gateways have bulk calls waiting: 20 percent of 30, not 10.
+        self.assertLessEqual(len(bulk), 5)
+        for call in urgent + bulk:
+            call.cancel()
+
     async def test_call_that_cannot_be_on_time_is_refused_before_it_waits(self):
         """Guards against a queue longer than the deadline."""
         self.own(0)
