--- a/src/dogwoodshed/_internal/reporting/exchange.py
+++ b/src/dogwoodshed/_internal/reporting/exchange.py
@@ -1,7 +1,6 @@
 """Close minutes, hand their summaries to peers and collect them for the report."""
 
 import asyncio
-import hashlib
 from collections.abc import Generator, Iterable
 from typing import Any, NamedTuple
 
@@ -20,6 +19,7 @@
 )
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.rendezvous import ranked
 from dogwoodshed._internal.reporting.merge import Day, merge_day
 from dogwoodshed._internal.reporting.presence import PresenceLog
 from dogwoodshed._internal.reporting.recorder import ClosedMinute, MinuteRecorder
@@ -242,15 +242,9 @@
         return SummaryReply(tuple(summaries), (), self._presences.presences(excluded))
 
 
-def holders_in_order(block: Block, peers: Iterable[str]) -> Iterable[str]:
+def holders_in_order(block: Block, peers: Iterable[str]) -> list[str]:
     """Return peers by falling rendezvous score for a gateway and its hour."""
-    # To be replaced by `_internal.rendezvous` once that is merged.
-    term = f"{block.gateway}/{block.start // HOLDER_TERM}"
-
-    def score(peer: str) -> bytes:
-        return hashlib.blake2b(f"{term}/{peer}".encode(), digest_size=8).digest()
-
-    return sorted(peers, key=score, reverse=True)
+    return ranked(f"{block.gateway}/{block.start // HOLDER_TERM}", peers)
 
 
 async def run_between_tasks(steps: Generator[None, None, Any]) -> Any:
--- a/src/dogwoodshed/_internal/routing/service_slots.py
+++ b/src/dogwoodshed/_internal/routing/service_slots.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Callable, Sequence
 
 from dogwoodshed._internal.admission.queue import RankedQueue, Waiter
+from dogwoodshed._internal.admission.throughput import Throughput
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.model import Rank, Service, Upstream
 from dogwoodshed._internal.exceptions import (
@@ -31,9 +31,6 @@
 # came with little time is given up only when half of that is gone.
 LEAST_SERVICE_TIMES = 2.0
 LEAST_ALLOWANCE_SHARE = 0.5
-# Dispatches that the estimate of a rank's throughput looks back on.
-THROUGHPUT_SAMPLES = 32
-LEAST_SAMPLES = 8
 AVERAGE_S = 0.25
 # The median over all upstreams changes slowly and costs more than a dispatch.
 NORMAL_REFRESH_S = 0.05
@@ -46,21 +43,6 @@
 MOST_SKIPPED = 8
 
 
-class _Throughput:
-    """Estimate the dispatches per second of one rank."""
-
-    def __init__(self) -> None:
-        self._moments: deque[float] = deque(maxlen=THROUGHPUT_SAMPLES)
-
-    def note(self, now: float) -> None:
-        self._moments.append(now)
-
-    def rate(self, now: float) -> float | None:
-        if len(self._moments) < LEAST_SAMPLES:
-            return None
-        return len(self._moments) / max(1e-6, now - self._moments[0])
-
-
 class ServiceSlots:
     """Queue and slots of one service at one gateway."""
 
@@ -82,7 +64,7 @@
         self._queue: RankedQueue = RankedQueue(ranks, queue_length)
         self._table = SlotTable()
         self._health: dict[str, UpstreamHealth] = {}
-        self._throughput = [_Throughput() for _ in ranks]
+        self._throughput = [Throughput() for _ in ranks]
         self._random = random.Random()
         self._on_need = on_need
         self._on_return = on_return
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -82,7 +82,6 @@
     data_centre: str
     listen: _Address
     routing: str = "slices"
-    routing_options: dict[str, bool | int | float | str] = {}
     mesh: MeshSettings = MeshSettings()
     platform: PlatformSettings = PlatformSettings()
     administration: AdministrationSettings = AdministrationSettings()
--- a/tests/lib/builders.py
+++ b/tests/lib/builders.py
@@ -80,19 +80,6 @@
     return load_configuration(text, revision, "test")
 
 
-class FakeClock:
-    """A clock that a test moves by hand."""
-
-    def __init__(self, now: float = 1000.0) -> None:
-        self.now = now
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
 def call(
     service: Service,
     kind: str = "read",
--- a/tests/unit/test_prober.py
+++ b/tests/unit/test_prober.py
@@ -6,7 +6,7 @@
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.probing.prober import Prober
 from dogwoodshed._internal.routing.base import ProbeDuty
-from tests.lib import builders
+from tests.lib.mesh_fakes import ManualClock
 
 BUDGET_PER_S = 0.5
 FLEET = tuple(f"g{number:02d}" for number in range(16))
@@ -38,7 +38,7 @@
         FakeMembership(live[0], live),
         lambda _: None,
         lambda duty, outcome: None,
-        builders.FakeClock(),
+        ManualClock(),
         Metrics(),
     )
     count, now = 0, 0.0
--- a/tests/unit/test_service_slots.py
+++ b/tests/unit/test_service_slots.py
@@ -14,6 +14,7 @@
 from dogwoodshed._internal.routing.service_slots import ServiceSlots
 from dogwoodshed._internal.routing.slots import HeldSlot
 from tests.lib import builders
+from tests.lib.mesh_fakes import ManualClock
 
 ADDRESSES = tuple(f"127.0.0.1:{port}" for port in (1, 2, 3))
 
@@ -24,7 +25,7 @@
 
 class ServiceSlotsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
-        self.clock = builders.FakeClock()
+        self.clock = ManualClock()
         self.configuration = builders.configuration(
             builders.service_text(addresses=ADDRESSES)
         )
