Tell overload from a pause by the processor time of the gap

A gateway whose event loop stands still for over a second under load closed the connections to all peers, which adds to its load. Only a gap without work counts as a pause now.

--- a/src/dogwoodshed/_internal/clock.py
+++ b/src/dogwoodshed/_internal/clock.py
@@ -13,6 +13,9 @@
     def wall(self) -> float:
         """Return seconds since the Unix epoch."""
 
+    def processor(self) -> float:
+        """Return the processor time of this process in seconds."""
+
 
 class SystemClock:
     """Read the clocks of the operating system."""
@@ -25,6 +28,15 @@
         """Return seconds since the Unix epoch."""
         return time.time()
 
+    def processor(self) -> float:
+        """Return the processor time of this process in seconds."""
+        return time.process_time()
+
+
+# A process that works through a gap is overloaded, not paused. Taking that for a pause
+# would close the connections to all peers and add to the load.
+LEAST_IDLE_SHARE = 0.5
+
 
 class PauseDetector:
     """Detect that the process did not run for longer than a threshold."""
@@ -33,10 +45,14 @@
         self._clock = clock
         self._threshold = threshold
         self._last = clock.monotonic()
+        self._last_processor = clock.processor()
 
     def tick(self) -> float:
         """Return the length of the gap since the last tick, or 0 if it was short."""
         now = self._clock.monotonic()
+        processor = self._clock.processor()
         gap = now - self._last
-        self._last = now
-        return gap if gap > self._threshold else 0.0
+        idle = gap - (processor - self._last_processor)
+        self._last, self._last_processor = now, processor
+        paused = gap > self._threshold and idle > LEAST_IDLE_SHARE * gap
+        return gap if paused else 0.0
