--- a/src/dogwoodshed/_internal/reporting/html.py
+++ b/src/dogwoodshed/_internal/reporting/html.py
@@ -25,6 +25,7 @@
 h2{font-size:1.1rem;margin-top:2rem}
 table{border-collapse:collapse;width:100%;font-variant-numeric:tabular-nums}
 th,td{padding:.3rem .5rem;text-align:right;border-bottom:1px solid #ccc}
+td{white-space:nowrap}
 th{font-weight:600;vertical-align:bottom}
 th:nth-child(-n+3),td:nth-child(-n+3){text-align:left}
 tr.missed td:nth-child(3){font-weight:700;color:#a3261b}
