Let the shortest lease outlast a held question

Found in the read-through: the borrower counts the term from its question, the lender may hold that for 100 ms, and the shortest term was 50 ms, so on services faster than 10 ms a held grant had expired on arrival.

--- a/src/dogwoodshed/_internal/routing/borrowing.py
+++ b/src/dogwoodshed/_internal/routing/borrowing.py
@@ -17,7 +17,8 @@
 
 # A borrower keeps a slot for this many usual service times while it has work for it.
 TERM_SERVICE_TIMES = 10
-LEAST_TERM_S = 0.05
+# The borrower counts the term from its question, which the lender may hold for 0.1 s.
+LEAST_TERM_S = 0.25
 # A lender takes a slot back this long after the term if it hears nothing more: the
 # message may be lost, and a call on the slot may still run.
 RECLAIM_AFTER_S = 5.0
