--- a/src/dogwoodshed/_internal/catch_up.py
+++ b/src/dogwoodshed/_internal/catch_up.py
@@ -4,6 +4,7 @@
 
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.distribution import Distribution
+from dogwoodshed._internal.configuration.model import Service
 from dogwoodshed._internal.drains import Drains
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
@@ -86,6 +87,10 @@
             # The slot was granted on what was known before a pause.
             self._router.release(slot, Outcome(OutcomeStatus.CANCELLED, 0.0))
 
+    def count_upstreams(self, service: Service) -> int:
+        """Return how many upstreams a service has."""
+        return self._router.count_upstreams(service)
+
     def release(self, slot: Slot, outcome: Outcome) -> None:
         """Return a slot with the outcome of its call."""
         self._router.release(slot, outcome)
--- a/src/dogwoodshed/_internal/platform/consul.py
+++ b/src/dogwoodshed/_internal/config_service/consul.py
@@ -6,8 +6,8 @@
 import aiohttp
 
 from dogwoodshed._internal import registry
+from dogwoodshed._internal.config_service.base import Platform, Snapshot, Value
 from dogwoodshed._internal.exceptions import PlatformError
-from dogwoodshed._internal.platform.base import Platform, Snapshot, Value
 
 READ_TIMEOUT_S = 5.0
 # The service answers within milliseconds after the wait; a watch that stays out longer
--- a/src/dogwoodshed/_internal/platform/watcher.py
+++ b/src/dogwoodshed/_internal/config_service/watcher.py
@@ -5,11 +5,11 @@
 from absl import logging
 from mode import Service
 
+from dogwoodshed._internal.config_service.base import Platform, Snapshot
+from dogwoodshed._internal.config_service.budget import PlatformPace
 from dogwoodshed._internal.configuration.replica import Replica
 from dogwoodshed._internal.exceptions import PlatformError
 from dogwoodshed._internal.metrics import Metrics
-from dogwoodshed._internal.platform.base import Platform, Snapshot
-from dogwoodshed._internal.platform.budget import PlatformPace
 from dogwoodshed._internal.settings import PlatformSettings
 
 
--- a/src/dogwoodshed/_internal/configuration/model.py
+++ b/src/dogwoodshed/_internal/configuration/model.py
@@ -24,6 +24,8 @@
     # Beyond the time limit a call is late; beyond the deadline it is given up.
     deadline: float
     objective: float
+    # Upstreams that one call may be sent to; 0 leaves that to the retry policy.
+    max_attempts: int = 0
 
     def matches(self, method: str, path: str) -> bool:
         """Tell whether a request is of this kind."""
@@ -35,13 +37,24 @@
 
     address: str
     data_centre: str
+    # The name of this run of the server, where the platform gives one.
+    id: str = ""
 
 
 class NotRunMark(NamedTuple):
     """What an answer looks like that says the request was not run."""
 
+    # 0 stands for any status.
     status: int
     header: str
+    # A status that says so by itself, without the header; 0 for none.
+    bare_status: int = 0
+
+    def matches(self, status: int, headers: Mapping[str, str]) -> bool:
+        """Tell whether an answer says that the request was not run."""
+        if status == self.bare_status != 0:
+            return True
+        return self.status in (0, status) and self.header in headers
 
 
 class Service(NamedTuple):
@@ -67,6 +80,23 @@
         return None
 
 
+class Backend(NamedTuple):
+    """A service that a route sends a share of its calls to."""
+
+    service: Service
+    weight: float
+
+
+class Route(NamedTuple):
+    """Where the calls of one host and path prefix go."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: Kind
+    backends: tuple[Backend, ...]
+
+
 class Configuration(NamedTuple):
     """An accepted configuration text with its revision."""
 
@@ -75,6 +105,8 @@
     fleet: str
     ranks: tuple[Rank, ...]
     services: tuple[Service, ...]
+    # Routes by host, for configurations that keep them apart from the services.
+    routes: tuple[Route, ...] = ()
 
     def find_service(self, path: str) -> Service | None:
         """Return the service with the longest path prefix that matches."""
--- a/src/dogwoodshed/_internal/configuration/store.py
+++ b/src/dogwoodshed/_internal/configuration/store.py
@@ -10,6 +10,8 @@
 from dogwoodshed._internal.metrics import Metrics
 
 Listener = Callable[[Configuration], None]
+# Takes a text, its revision and where it came from; raises ConfigurationError.
+Loader = Callable[[str, int, str], Configuration]
 
 
 class ConfigurationStore:
@@ -17,7 +19,8 @@
 
     key = "configuration"
 
-    def __init__(self, metrics: Metrics) -> None:
+    def __init__(self, metrics: Metrics, load: Loader = load_configuration) -> None:
+        self._load = load
         self._metrics = metrics
         # As accepted, without the upstreams that the host list names.
         self._accepted: Configuration | None = None
@@ -62,7 +65,7 @@
             self._count_ignored(text, revision)
             return False
         try:
-            configuration = load_configuration(text, revision, source)
+            configuration = self._load(text, revision, source)
         except ConfigurationError as error:
             self._reject(revision, error)
             return False
--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -37,6 +37,10 @@
     """Raised when the platform's configuration service cannot be read."""
 
 
+class HistoryLostError(PlatformError):
+    """Raised when the platform does not keep the changes since a revision any more."""
+
+
 class AdministrationError(DogwoodshedError):
     """Raised when an administration API cannot be reached or refuses."""
 
@@ -93,6 +97,12 @@
     title = "not run"
 
 
+class NoConfigurationError(NotRunError):
+    """Raised when a call comes before the first configuration."""
+
+    title = "no configuration yet"
+
+
 class NoRouteError(NotRunError):
     """Raised when no service matches the path of a request."""
 
@@ -203,6 +213,12 @@
     title = "upstream disconnected"
 
 
+class ForeignAnswerError(OutcomeUnknownError):
+    """Raised when a success does not bear the upstream's proof."""
+
+    title = "answer without proof"
+
+
 class BodyOverLimitError(OutcomeUnknownError):
     """Raised when a streamed body exceeds the limit after part of it was sent."""
 
--- /dev/null
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -0,0 +1,260 @@
+"""Join the services of a gateway whose fleet finds itself and keeps no state."""
+
+import asyncio
+from typing import Any
+
+from absl import logging
+from mode import Service
+
+from dogwoodshed._internal.clock import SystemClock
+from dogwoodshed._internal.configuration.store import ConfigurationStore
+from dogwoodshed._internal.decision_log import DecisionLog
+from dogwoodshed._internal.directory.follower import DirectoryFollower
+from dogwoodshed._internal.directory.model import Directory
+from dogwoodshed._internal.directory.table import ListedUpstream
+from dogwoodshed._internal.directory.view import DirectoryView
+from dogwoodshed._internal.endpoints import Endpoints
+from dogwoodshed._internal.membership import STATE_JOINING, STATE_LEAVING, STATE_READY
+from dogwoodshed._internal.mesh.messages import News, Table
+from dogwoodshed._internal.mesh.overlay import Overlay
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.probing.prober import Prober
+from dogwoodshed._internal.proxy.attempts import Sender
+from dogwoodshed._internal.proxy.connections import UpstreamPools
+from dogwoodshed._internal.proxy.headers import HeaderNames
+from dogwoodshed._internal.proxy.load_reports import LoadReportReader
+from dogwoodshed._internal.proxy.relay import Relay
+from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer
+from dogwoodshed._internal.retries.fleet import (
+    FleetBudget,
+    FleetHedgePolicy,
+    FleetRetryPolicy,
+)
+from dogwoodshed._internal.routing.shared import SharedContext, SharedRouter
+from dogwoodshed._internal.settings import Settings, split_address
+
+# Peers bring a starting gateway up to date within a few round trips; it reads the
+# directory itself when none has by then.
+FIRST_READ_AFTER_S = 0.7
+FORGET_TICK_S = 0.3
+
+
+class _LoggingRecorder:
+    """Count each finished call and write its line."""
+
+    def __init__(
+        self, log: DecisionLog, metrics: Metrics, store: ConfigurationStore
+    ) -> None:
+        self._decisions = log
+        self._metrics = metrics
+        self._store = store
+
+    def record(self, record: CallRecord) -> None:
+        """Count one finished call."""
+        prefix = f"calls.{record.service}.{record.kind}"
+        self._metrics.increment(f"{prefix}.{record.status}.{record.ran}")
+        self._metrics.observe(f"{prefix}.seconds", record.elapsed)
+        self._decisions.write(
+            "call",
+            id=record.request_id,
+            service=record.service,
+            kind=record.kind,
+            status=record.status,
+            ran=record.ran,
+            ms=round(record.elapsed * 1000),
+            queued_ms=round(record.waiting * 1000),
+            retries=record.retries,
+            hedges=record.hedges,
+            upstreams=record.upstreams,
+            why=record.reason,
+            config=self._store.revision,
+        )
+
+
+class _Knowledge:
+    """Join what the directory and the router tell the other gateways."""
+
+    def __init__(self, view: DirectoryView, router: SharedRouter) -> None:
+        self._view = view
+        self._router = router
+
+    def compose(self, *, full: bool) -> dict[str, Any] | None:
+        """Return the fields of the next news, or None without any."""
+        fields = {**self._view.compose(full=full), **self._router.compose(full=full)}
+        return fields or None
+
+    def take_news(self, news: News) -> None:
+        """Use news of another gateway."""
+        self._view.take_news(news)
+        self._router.take_news(news, full=bool(news.address))
+
+    def table(self) -> Table:
+        """Return everything known of the directory."""
+        return self._view.table()
+
+    def take_table(self, table: Table) -> None:
+        """Use what a peer knows of the directory."""
+        self._view.take_table(table)
+
+
+class FleetGateway(Service):
+    """Run one gateway of a fleet."""
+
+    mundane_level = "debug"
+
+    def __init__(
+        self,
+        settings: Settings,
+        directory: Directory,
+        names: HeaderNames,
+        read_report: LoadReportReader,
+    ) -> None:
+        super().__init__()
+        self._settings = settings
+        self._names = names
+        self._read_report = read_report
+        self._clock = SystemClock()
+        self._metrics = Metrics.from_settings(settings.statsd, "dogwoodshed")
+        self._decisions = DecisionLog(settings.id, self._metrics)
+        self._state = STATE_JOINING
+        self._store = ConfigurationStore(
+            self._metrics,
+            lambda text, revision, source: directory.parse(text, revision),
+        )
+        self._overlay = Overlay(settings, self._clock, self._metrics)
+        self._roster = self._overlay.roster
+        self._router = SharedRouter(
+            SharedContext(
+                settings.data_centre,
+                settings.limits.queue_length,
+                self._overlay.publish,
+                self._probes,
+                self._clock,
+                self._metrics,
+            )
+        )
+        self._view = DirectoryView(
+            self._store,
+            self._apply_upstreams,
+            self._overlay.publish,
+            self._clock,
+            self._metrics,
+        )
+        self._follower = DirectoryFollower(
+            directory,
+            lambda: self._roster.reader_rank,
+            self._view.take_changes,
+            self._view.note_failure,
+            self._clock,
+            self._metrics,
+            first_read_after=FIRST_READ_AFTER_S,
+        )
+        self._view.attach(self._follower)
+        self._overlay.attach(_Knowledge(self._view, self._router))
+        self._store.subscribe(self._router.apply_configuration)
+        self._budget = FleetBudget(settings.retries)
+        self._roster.subscribe(
+            lambda: self._budget.set_fleet_size(len(self._roster.live))
+        )
+        self._endpoints = Endpoints(
+            settings.endpoints, lambda: self._state == STATE_READY, self._metrics
+        )
+        self._prober = Prober(
+            self._router,
+            self._roster,
+            read_report,
+            self._router.note_probe,
+            self._clock,
+            self._metrics,
+        )
+
+    @property
+    def decisions(self) -> DecisionLog:
+        return self._decisions
+
+    def reload(self, settings: Settings) -> None:
+        """Use what may change while the process runs: the first contacts."""
+        logging.info("settings reloaded; %d seeds", len(settings.mesh.seeds))
+        self._overlay.set_seeds(settings.mesh.seeds)
+
+    def _probes(self, data_centre: str) -> bool:
+        if not self._roster.is_relay:
+            return False
+        return data_centre == self._settings.data_centre or not self._roster.has_relay(
+            data_centre
+        )
+
+    def _apply_upstreams(self, listed: list[ListedUpstream]) -> None:
+        self._router.apply_upstreams(listed)
+        self._pools.keep_only({upstream.entry.address for upstream in listed})
+
+    async def on_start(self) -> None:
+        """Start the parts."""
+        settings = self._settings
+        self._pools = UpstreamPools(settings.limits, 1, self._metrics, self._names)
+        sender = Sender(
+            self._router,
+            self._pools,
+            self._read_report,
+            self._clock,
+            self._metrics,
+            names=self._names,
+            finish_abandoned=settings.limits.finish_abandoned,
+            hold_unsized=settings.limits.hold_unsized,
+        )
+        relay = Relay(
+            self._router,
+            sender,
+            FleetRetryPolicy(self._budget, self._router.expected_work),
+            FleetHedgePolicy(self._budget, self._router.expected_work),
+            settings.limits.progress_timeout_s,
+            self._clock,
+            self._metrics,
+        )
+        self._server = ProxyServer(
+            self._store,
+            relay,
+            _LoggingRecorder(self._decisions, self._metrics, self._store),
+            settings.limits,
+            self._clock,
+            self._metrics,
+            self._names,
+        )
+        await self.add_runtime_dependency(self._endpoints)
+        await self.add_runtime_dependency(self._overlay)
+        await self.add_runtime_dependency(self._follower)
+        await self.add_runtime_dependency(self._prober)
+        # Callers that come early are told to come back, not refused a connection.
+        await self._server.listen(*split_address(settings.listen))
+
+    async def on_started(self) -> None:
+        """Count as ready once configuration and upstreams are known."""
+        joined = await self.wait(self._view.wait_ready())
+        if joined.stopped:
+            return
+        self._state = STATE_READY
+        logging.info("gateway ready at configuration %d", self._store.revision)
+
+    async def on_stop(self) -> None:
+        """Finish every request, then stop."""
+        self._state = STATE_LEAVING
+        logging.info("gateway stops; %d in flight", self._server.in_flight)
+        await self._overlay.announce_leaving()
+        await self._server.linger(self._settings.limits.stop_linger_s)
+        await self._server.stop_accepting()
+        await self._server.drain(self._settings.stop_timeout_s)
+        await self._pools.close()
+        self._metrics.flush()
+        logging.info("gateway stopped")
+
+    @Service.task
+    async def _keep_up(self) -> None:
+        while not self.should_stop:
+            self._router.forget_silent()
+            if self._view.has_gap:
+                self._overlay.ask_for_table()
+            await asyncio.sleep(FORGET_TICK_S)
+
+    @Service.timer(1.0)
+    async def _flush_metrics(self) -> None:
+        self._metrics.flush()
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -13,6 +13,8 @@
 from dogwoodshed._internal.administration.status import StatusSources
 from dogwoodshed._internal.catch_up import GuardedRouter
 from dogwoodshed._internal.clock import SystemClock
+from dogwoodshed._internal.config_service import budget
+from dogwoodshed._internal.config_service.watcher import PlatformWatcher
 from dogwoodshed._internal.configuration import distribution
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.discovery.host_list import HostList
@@ -27,8 +29,6 @@
 )
 from dogwoodshed._internal.mesh.service import HeartbeatState, Mesh
 from dogwoodshed._internal.metrics import Metrics
-from dogwoodshed._internal.platform import budget
-from dogwoodshed._internal.platform.watcher import PlatformWatcher
 from dogwoodshed._internal.probing import prober
 from dogwoodshed._internal.proxy.attempts import Sender
 from dogwoodshed._internal.proxy.connections import UpstreamPools
--- a/src/dogwoodshed/_internal/mesh/connection.py
+++ b/src/dogwoodshed/_internal/mesh/connection.py
@@ -10,7 +10,7 @@
     ProtocolError,
 )
 from dogwoodshed._internal.mesh.codec import Decoder, Envelope, encode
-from dogwoodshed._internal.mesh.messages import Heartbeat, Hello
+from dogwoodshed._internal.mesh.messages import Bundle, Heartbeat, Hello
 
 READ_BYTES = 65_536
 # Above the first bound heartbeats are dropped, since a later one replaces them; above
@@ -101,7 +101,7 @@
         if waiting > MAX_BUFFER_BYTES:
             self.close()
             return False
-        if waiting > STALE_DROP_BYTES and isinstance(message, Heartbeat):
+        if waiting > STALE_DROP_BYTES and isinstance(message, Heartbeat | Bundle):
             self._dropped += 1
             return False
         data = encode(message, request_id)
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -18,6 +18,8 @@
     incarnation: int
     data_centre: str
     fleet: str = ""
+    # Where the gateway listens for peers, in fleets whose members find each other.
+    address: str = ""
 
 
 class ServiceLoad(NamedTuple):
@@ -212,6 +214,102 @@
     """Confirm a message that needs no other answer."""
 
 
+class Member(NamedTuple):
+    """A gateway of a fleet whose members find each other."""
+
+    id: str
+    address: str
+    data_centre: str
+    # Microseconds of the start; the oldest gateway of a data centre relays its news.
+    incarnation: int
+
+
+class Roster(NamedTuple):
+    """Tell a new peer which gateways there are."""
+
+    members: tuple[Member, ...]
+
+
+class InFlight(NamedTuple):
+    """The calls of one gateway that an upstream is at work on."""
+
+    upstream_id: str
+    calls: int
+
+
+class UpstreamReport(NamedTuple):
+    """What a gateway learned of an upstream from an answer or a probe."""
+
+    upstream_id: str
+    # Percent of the usual service time, 0 if unknown.
+    slowness: int
+    failed: bool = False
+
+
+class Waiting(NamedTuple):
+    """The calls of one service that wait at a gateway, by rank."""
+
+    service: str
+    by_rank: tuple[int, ...]
+
+
+class Entry(NamedTuple):
+    """An upstream's directory entry; see `directory.model.UpstreamEntry`."""
+
+    id: str
+    revision: int
+    listed: bool
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    draining: bool
+    started_ms: int
+    cold_ms: int
+
+
+class News(NamedTuple):
+    """What changed at one gateway since its previous news."""
+
+    origin: str
+    incarnation: int
+    sequence: int
+    in_flight: tuple[InFlight, ...] = ()
+    reports: tuple[UpstreamReport, ...] = ()
+    waiting: tuple[Waiting, ...] = ()
+    entries: tuple[Entry, ...] = ()
+    # Revision and text of a new configuration; revision 0 means none.
+    configuration_revision: int = 0
+    configuration: str = ""
+    # How far the sender knows the directory, and the age of the proof in milliseconds.
+    directory_revision: int = 0
+    directory_age_ms: int = -1
+    # Set in full news, which name everything that is in flight.
+    address: str = ""
+    data_centre: str = ""
+    state: str = ""
+
+
+class Bundle(NamedTuple):
+    """News of several gateways; an empty one shows that the connection works."""
+
+    news: tuple[News, ...]
+
+
+class TableRequest(NamedTuple):
+    """Ask for everything that a peer knows of the directory."""
+
+
+class Table(NamedTuple):
+    """Everything that a gateway knows of the directory."""
+
+    entries: tuple[Entry, ...]
+    configuration_revision: int
+    configuration: str
+    directory_revision: int
+    directory_age_ms: int
+
+
 # Codes are part of the protocol and are never reused.
 CODES: dict[int, type] = {
     1: Hello,
@@ -233,4 +331,8 @@
     17: SummaryReply,
     18: Acknowledged,
     19: RecordsRequest,
+    20: Roster,
+    21: Bundle,
+    22: TableRequest,
+    23: Table,
 }
--- /dev/null
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -0,0 +1,164 @@
+"""Track the gateways of a fleet whose members find each other."""
+
+from collections.abc import Callable
+
+from absl import logging
+
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.membership import Members
+from dogwoodshed._internal.mesh.messages import Member
+
+# Three missed full news; a gateway that is not heard for longer counts as dead.
+DEAD_AFTER_S = 1.6
+# A gateway that could not be reached is passed over as relay for this long.
+SUSPECT_S = 1.0
+# Gateways not heard for longer are not dialled any more; they come back by themselves.
+FORGET_AFTER_S = 30.0
+
+
+class FleetRoster:
+    """Know the members and which of them relay news between data centres.
+
+    The relay of a data centre is its oldest live gateway. It holds a connection to the
+    relays of the other data centres, and every other gateway one to its relay.
+    """
+
+    def __init__(self, own: Member, clock: Clock) -> None:
+        self._own = own
+        self._clock = clock
+        self._members: dict[str, Member] = {own.id: own}
+        self._heard_at: dict[str, float] = {}
+        self._leaving: dict[str, int] = {}
+        self._suspect_until: dict[str, float] = {}
+        self._live: tuple[Member, ...] = (own,)
+        self._listeners: list[Callable[[], None]] = []
+
+    @property
+    def own(self) -> Member:
+        return self._own
+
+    @property
+    def live(self) -> tuple[Member, ...]:
+        """The live gateways, oldest first, this one included."""
+        return self._live
+
+    @property
+    def known(self) -> tuple[Member, ...]:
+        return tuple(self._members.values())
+
+    @property
+    def members(self) -> Members:
+        live = tuple(sorted(member.id for member in self._live))
+        return Members(self._own.id, live, live)
+
+    @property
+    def is_relay(self) -> bool:
+        return self.relay(self._own.data_centre) == self._own
+
+    @property
+    def reader_rank(self) -> int:
+        """The position of this gateway among those that may read the directory."""
+        relays = self._relays()
+        if self._own in relays:
+            return relays.index(self._own)
+        others = [member for member in self._live if member not in relays]
+        if self._own not in others:
+            return len(self._live)
+        return len(relays) + others.index(self._own)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call a listener when the live gateways change."""
+        self._listeners.append(listener)
+
+    def relay(self, data_centre: str) -> Member | None:
+        """Return the gateway that relays the news of a data centre."""
+        now = self._clock.monotonic()
+        candidates = [m for m in self._live if m.data_centre == data_centre]
+        for member in candidates:
+            if self._suspect_until.get(member.id, 0.0) <= now:
+                return member
+        return candidates[0] if candidates else None
+
+    def wanted_peers(self) -> tuple[Member, ...]:
+        """Return the gateways that this one keeps a connection to."""
+        if not self.is_relay:
+            relay = self.relay(self._own.data_centre)
+            return (relay,) if relay is not None else ()
+        return tuple(relay for relay in self._relays() if relay != self._own)
+
+    def data_centres_served(self) -> frozenset[str]:
+        """Return the data centres whose upstreams this gateway probes."""
+        if not self.is_relay:
+            return frozenset()
+        return frozenset({self._own.data_centre})
+
+    def has_relay(self, data_centre: str) -> bool:
+        """Tell whether any live gateway stands in a data centre."""
+        return any(member.data_centre == data_centre for member in self._live)
+
+    def note_member(self, member: Member) -> None:
+        """Learn of a gateway without having heard from it."""
+        known = self._members.get(member.id)
+        if member.id == self._own.id:
+            return
+        if known is None or known.incarnation < member.incarnation:
+            self._members[member.id] = member
+
+    def note_heard(self, member_id: str, incarnation: int, *, leaving: bool) -> None:
+        """Note news of a gateway."""
+        member = self._members.get(member_id)
+        if member is None or member.incarnation != incarnation:
+            return
+        now = self._clock.monotonic()
+        if leaving:
+            self._leaving[member_id] = incarnation
+        was_live = now - self._heard_at.get(member_id, float("-inf")) < DEAD_AFTER_S
+        self._heard_at[member_id] = now
+        if not was_live or leaving or member not in self._live:
+            self.refresh()
+
+    def note_leaving(self) -> None:
+        """Leave the work of a relay to others."""
+        self._leaving[self._own.id] = self._own.incarnation
+        self.refresh()
+
+    def note_unreachable(self, member_id: str) -> None:
+        """Pass over a gateway as relay for a while."""
+        self._suspect_until[member_id] = self._clock.monotonic() + SUSPECT_S
+
+    def refresh(self) -> None:
+        """Derive the live gateways; tell listeners of a change."""
+        now = self._clock.monotonic()
+        live = [
+            member
+            for member in self._members.values()
+            if self._leaving.get(member.id) != member.incarnation
+            and (
+                member.id == self._own.id
+                or now - self._heard_at.get(member.id, float("-inf")) < DEAD_AFTER_S
+            )
+        ]
+        live.sort(key=lambda member: (member.incarnation, member.id))
+        found = tuple(live)
+        if found == self._live:
+            return
+        before, self._live = self._live, found
+        for member in set(before) ^ set(found):
+            state = "live" if member in found else "silent or leaving"
+            logging.info("gateway %s is %s; %d live", member.id, state, len(found))
+        for listener in self._listeners:
+            listener()
+
+    def forget_old(self) -> None:
+        """Forget gateways that have been silent for long."""
+        limit = self._clock.monotonic() - FORGET_AFTER_S
+        for member_id in list(self._members):
+            heard = self._heard_at.get(member_id)
+            if member_id != self._own.id and heard is not None and heard < limit:
+                del self._members[member_id]
+                del self._heard_at[member_id]
+
+    def _relays(self) -> list[Member]:
+        centres = sorted({member.data_centre for member in self._live})
+        relays = [relay for c in centres if (relay := self.relay(c)) is not None]
+        return sorted(relays, key=lambda member: (member.incarnation, member.id))
--- a/src/dogwoodshed/_internal/metrics.py
+++ b/src/dogwoodshed/_internal/metrics.py
@@ -1,9 +1,13 @@
 """Count events and send them to a statsd server."""
 
+import bisect
 from collections import Counter
 
 import statsd
 
+# Upper bounds of the histograms, from a fraction of a hop to the longest deadlines.
+BOUNDS_S = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
 
 class Metrics:
     """Hold counters and gauges of one process."""
@@ -13,6 +17,7 @@
         self._counters: Counter[str] = Counter()
         self._flushed: Counter[str] = Counter()
         self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, list[int]] = {}
 
     @classmethod
     def from_settings(cls, address: str | None, prefix: str) -> "Metrics":
@@ -34,6 +39,24 @@
         """Set a gauge."""
         self._gauges[name] = value
 
+    def observe(self, name: str, seconds: float) -> None:
+        """Count a duration in a histogram with doubling bounds."""
+        histogram = self._histograms.get(name)
+        if histogram is None:
+            histogram = self._histograms[name] = [0] * (len(BOUNDS_S) + 1)
+        histogram[bisect.bisect_left(BOUNDS_S, seconds)] += 1
+
+    def render(self) -> str:
+        """Return all values as text, one a line."""
+        lines = [f"{name} {value}" for name, value in sorted(self._counters.items())]
+        lines += [f"{name} {value}" for name, value in sorted(self._gauges.items())]
+        for name, counts in sorted(self._histograms.items()):
+            total = 0
+            for bound, count in zip((*BOUNDS_S, "inf"), counts, strict=True):
+                total += count
+                lines.append(f'{name}{{le="{bound}"}} {total}')
+        return "\n".join(lines) + "\n"
+
     def flush(self) -> None:
         """Send what changed since the last flush."""
         if self._client is None:
--- a/src/dogwoodshed/_internal/plugins.py
+++ b/src/dogwoodshed/_internal/plugins.py
@@ -4,7 +4,7 @@
 
 _MODULES = (
     "dogwoodshed._internal.discovery.host_list",
-    "dogwoodshed._internal.platform.consul",
+    "dogwoodshed._internal.config_service.consul",
     "dogwoodshed._internal.proxy.load_reports",
     "dogwoodshed._internal.routing.baselines",
     "dogwoodshed._internal.routing.slices",
--- a/src/dogwoodshed/_internal/probing/prober.py
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -1,6 +1,5 @@
 """Probe the upstreams that nobody has heard from."""
 
-import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -69,8 +68,9 @@
             timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
         )
         while not self.should_stop:
-            due = self.take_due(self._clock.monotonic())
-            await asyncio.gather(*(self._probe(duty) for duty in due))
+            # One silent upstream must not hold up the probes of the others.
+            for duty in self.take_due(self._clock.monotonic()):
+                self.add_future(self._probe(duty))
             await self.sleep(TICK_S)
 
     async def on_stop(self) -> None:
--- a/src/dogwoodshed/_internal/proxy/answers.py
+++ b/src/dogwoodshed/_internal/proxy/answers.py
@@ -26,6 +26,7 @@
         "_finish",
         "_on_silent",
         "body",
+        "head",
         "headers",
         "reason",
         "response",
@@ -41,11 +42,14 @@
         body: bytes | None,
         *,
         reason: str | None = None,
+        head: bytes = b"",
     ) -> None:
         self.response = response
         self.status = status
         self.headers = answer_headers
         self.body = body
+        # What was read of a streaming answer before its length was known.
+        self.head = head
         self.reason = reason
         self.silent = False
         self._finish: Callable[[OutcomeStatus], None] | None = None
--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 
 import aiohttp
-from multidict import CIMultiDictProxy
+from multidict import CIMultiDict
 from yarl import URL
 
 from dogwoodshed._internal.clock import Clock
-from dogwoodshed._internal.configuration.model import NotRunMark
 from dogwoodshed._internal.exceptions import (
     BodyOverLimitError,
     CallError,
     DeadlineExpiredInQueueError,
+    ForeignAnswerError,
     UpstreamDisconnectedError,
     UpstreamRefusedError,
     UpstreamTimeoutError,
@@ -23,6 +23,7 @@
 from dogwoodshed._internal.proxy.answers import Answer, OutboundRequest
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.proxy.connections import UpstreamPool, UpstreamPools
+from dogwoodshed._internal.proxy.headers import DEFAULT_NAMES, HeaderNames
 from dogwoodshed._internal.proxy.load_reports import LoadReportReader
 from dogwoodshed._internal.routing.base import (
     LoadReport,
@@ -54,6 +55,7 @@
     """One attempt on one slot, released exactly once."""
 
     __slots__ = (
+        "_call",
         "_clock",
         "_pool",
         "_report",
@@ -65,8 +67,14 @@
     )
 
     def __init__(
-        self, router: Router, slot: Slot, pool: UpstreamPool, clock: Clock
+        self,
+        router: Router,
+        slot: Slot,
+        pool: UpstreamPool,
+        call: Call,
+        clock: Clock,
     ) -> None:
+        self._call = call
         self._router = router
         self._slot = slot
         self._pool = pool
@@ -81,6 +89,10 @@
     def pool(self) -> UpstreamPool:
         return self._pool
 
+    @property
+    def upstream_id(self) -> str:
+        return self._slot.upstream.id
+
     def note_report(self, report: LoadReport | None) -> None:
         """Keep the load report of the answer for the router."""
         self._report = report
@@ -89,6 +101,9 @@
         """Release the slot with the outcome."""
         elapsed = self._clock.monotonic() - self._started
         self._router.release(self._slot, Outcome(status, elapsed, self._report))
+        self._call.trace.append(
+            f"{self.upstream_id or self._pool.address} {status.value} {elapsed:.3f}s"
+        )
         self._pool.leave()
 
 
@@ -104,7 +119,13 @@
         metrics: Metrics,
         *,
         replace_silent: bool = True,
+        names: HeaderNames = DEFAULT_NAMES,
+        finish_abandoned: bool = True,
+        hold_unsized: bool = False,
     ) -> None:
+        self._hold_unsized = hold_unsized
+        self._names = names
+        self._finish_abandoned = finish_abandoned
         self._router = router
         self._pools = pools
         self._read_report = read_report
@@ -129,7 +150,7 @@
         pool = self._pools.pool(
             slot.upstream.address, call.service.connections_per_upstream
         )
-        attempt = Attempt(self._router, slot, pool, self._clock)
+        attempt = Attempt(self._router, slot, pool, call, self._clock)
         status: OutcomeStatus | None = OutcomeStatus.CANCELLED
         try:
             answer = await self._exchange(call, request, attempt, patience, may_give_up)
@@ -190,8 +211,10 @@
         remaining = call.deadline - now
         if remaining <= 0:
             raise DeadlineExpiredInQueueError(call.service.name)
-        limit = remaining if call.idempotent else remaining + NON_IDEMPOTENT_GRACE_S
-        request.headers[headers.TIMEOUT_MS] = str(int(remaining * 1000))
+        limit = remaining
+        if self._finish_abandoned and not call.idempotent:
+            limit += NON_IDEMPOTENT_GRACE_S
+        outbound_headers = self._outbound_headers(request, attempt, remaining)
         pool = attempt.pool
         address = pool.address
         # One timer serves both the patience and the limit, because nearly all attempts
@@ -207,6 +230,7 @@
         )
         # From here on the upstream may have seen the call.
         call.dispatched = True
+        call.attempts += 1
         if call.dispatched_at is None:
             call.dispatched_at = now
         try:
@@ -214,15 +238,17 @@
                 response = await pool.session.request(
                     request.method,
                     _url(address, request.target),
-                    headers=request.headers,
+                    headers=outbound_headers,
                     data=request.body.payload(),
                     allow_redirects=False,
                 )
-                pool.note_answer()
+                pool.note_answer(response.headers.get("Keep-Alive"))
                 return await self._read_answer(call, response, attempt)
         except aiohttp.ClientConnectorError as error:
+            call.attempts -= 1
             raise UpstreamUnreachableError(f"{address}: {error.strerror}") from error
         except aiohttp.ConnectionTimeoutError as error:
+            call.attempts -= 1
             raise UpstreamUnreachableError(f"{address}: connect timeout") from error
         except TimeoutError as error:
             raise UpstreamTimeoutError(f"{address}: no answer in time") from error
@@ -233,15 +259,35 @@
                 f"{address}: {type(error).__name__}"
             ) from error
 
+    def _outbound_headers(
+        self, request: OutboundRequest, attempt: Attempt, remaining: float
+    ) -> CIMultiDict[str]:
+        # A copy, since a hedge sends the same request to another instance.
+        outbound = CIMultiDict(request.headers)
+        outbound[self._names.timeout_ms] = str(int(remaining * 1000))
+        if self._names.instance is not None:
+            outbound[self._names.instance] = attempt.upstream_id
+        return outbound
+
     async def _read_answer(
         self, call: Call, response: aiohttp.ClientResponse, attempt: Attempt
     ) -> Answer:
         attempt.note_report(self._read_report(response.headers))
-        if _says_not_run(response.status, response.headers, call.service.not_run):
+        if call.service.not_run.matches(response.status, response.headers):
             await _drain(response)
             raise UpstreamRefusedError(call.service.name)
+        proof = self._names.proof
+        if (
+            proof is not None
+            and response.status < 300
+            and (proof not in response.headers)
+        ):
+            response.close()
+            raise ForeignAnswerError(attempt.pool.address)
         answer_headers = headers.for_caller(response.headers)
         length = response.content_length
+        if length is None and self._hold_unsized:
+            return await _read_unsized(response, answer_headers)
         if length is not None and length <= WHOLE_ANSWER_BYTES:
             body = await response.read()
             return Answer(
@@ -252,6 +298,31 @@
         )
 
 
+async def _read_unsized(
+    response: aiohttp.ClientResponse, answer_headers: CIMultiDict[str]
+) -> Answer:
+    """Hold a short answer of unknown length whole, and stream a longer one."""
+    parts: list[bytes] = []
+    size = 0
+    while size <= WHOLE_ANSWER_BYTES:
+        part = await response.content.readany()
+        if not part:
+            body = b"".join(parts)
+            return Answer(
+                None, response.status, answer_headers, body, reason=response.reason
+            )
+        parts.append(part)
+        size += len(part)
+    return Answer(
+        response,
+        response.status,
+        answer_headers,
+        None,
+        reason=response.reason,
+        head=b"".join(parts),
+    )
+
+
 async def _drain(response: aiohttp.ClientResponse) -> None:
     """Keep the connection of a small refusal, which is cheaper than a new one."""
     length = response.content_length
@@ -271,9 +342,3 @@
     if target.endswith("?"):
         url._cache["raw_path_qs"] = target
     return url
-
-
-def _says_not_run(
-    status: int, answer_headers: CIMultiDictProxy[str], mark: NotRunMark
-) -> bool:
-    return status == mark.status and mark.header in answer_headers
--- a/src/dogwoodshed/_internal/proxy/call.py
+++ b/src/dogwoodshed/_internal/proxy/call.py
@@ -8,6 +8,7 @@
 
     __slots__ = (
         "arrived",
+        "attempts",
         "caller",
         "deadline",
         "depth",
@@ -18,8 +19,10 @@
         "key",
         "kind",
         "rank",
+        "request_id",
         "retries",
         "service",
+        "trace",
     )
 
     def __init__(
@@ -33,6 +36,7 @@
         rank: int | None = None,
         depth: int = 0,
         key: str | None = None,
+        request_id: str = "",
     ) -> None:
         self.service = service
         self.kind = kind
@@ -42,6 +46,12 @@
         self.deadline = deadline
         self.depth = depth
         self.key = key
+        # The caller's name for the request, empty without one.
+        self.request_id = request_id
+        # For the log: each attempt with its end.
+        self.trace: list[str] = []
+        # Upstreams that the call was sent to so far.
+        self.attempts = 0
         # Set before the first byte goes to an upstream.
         self.dispatched = False
         # For the report: the first dispatch, further attempts, and whether a repeat
@@ -51,6 +61,12 @@
         self.hedges = 0
         self.double_prevented = False
 
+    @property
+    def may_be_sent(self) -> bool:
+        """Tell whether the kind allows another upstream."""
+        most = self.kind.max_attempts
+        return most == 0 or self.attempts < most
+
     @property
     def idempotent(self) -> bool:
         return self.kind.idempotent
--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -1,19 +1,76 @@
 """Keep a pool of connections to each upstream."""
 
 import asyncio
+import functools
 from collections.abc import Callable
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 
 from dogwoodshed._internal.metrics import Metrics
-from dogwoodshed._internal.proxy.headers import AUTO_HEADERS
+from dogwoodshed._internal.proxy.headers import (
+    AUTO_HEADERS,
+    DEFAULT_NAMES,
+    HeaderNames,
+)
 from dogwoodshed._internal.settings import LimitSettings
 
-# Shorter than the idle timeouts that servers commonly have, because a connection that
-# the server is closing turns a non-idempotent call into one of unknown outcome.
-IDLE_TIMEOUT_S = 4.0
 MIN_CONNECTIONS = 4
+# An upstream closes an idle connection after the time that it states, counted from
+# when it sent its answer, and a request must not cross that close.
+KEEP_ALIVE_MARGIN_S = 1.0
+LEAST_KEEP_ALIVE_S = 0.5
+
+
+class _MatchingHandler(ResponseHandler):
+    """Pass over answers that belong to another request.
+
+    An upstream that repeats an answer late sends it where the next one is expected.
+    """
+
+    id_header: str | None = None
+    expected_id: str | None = None
+
+    async def read(self):
+        """Return the next answer to the current request."""
+        while True:
+            message, payload = await super().read()
+            if self.expected_id is None or not message.code >= 200:
+                return message, payload
+            echoed = message.headers.get(self.id_header)
+            if echoed is None or echoed == self.expected_id:
+                return message, payload
+            await payload.read()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """End an answer without a length as broken when its connection is reset."""
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"))
+        super().connection_lost(exc)
+
+
+class _Connector(aiohttp.TCPConnector):
+    """Reuse only connections on which nothing came after the last answer."""
+
+    def __init__(self, id_header: str | None, **options) -> None:
+        super().__init__(**options)
+        self.id_header = id_header
+        # The library has no public way to set its protocol class;
+        # tests/functional/test_late_answers.py fails if this one goes.
+        self._factory = functools.partial(_MatchingHandler, loop=self._loop)
+
+    async def _get(self, key, traces):
+        while (connection := await super()._get(key, traces)) is not None:
+            if not connection.protocol.should_close:
+                return connection
+            connection.close()
+        return None
+
+    def limit_idle(self, seconds: float) -> None:
+        """Close idle connections after a shorter time."""
+        self._keepalive_timeout = min(self._keepalive_timeout, seconds)
 
 
 class _PlainRequest(aiohttp.ClientRequest):
@@ -25,6 +82,14 @@
         """Add nothing; the library's way copies all headers to find that out."""
         self._skip_auto_headers = self._skipped
 
+    async def send(self, connection):
+        """Tell the connection which answer to wait for."""
+        name = self.session.connector.id_header
+        protocol = connection.protocol
+        protocol.id_header = name
+        protocol.expected_id = self.headers.get(name) if name is not None else None
+        return await super().send(connection)
+
 
 class UpstreamPool:
     """Hold the connections to one upstream address."""
@@ -35,8 +100,10 @@
         limit: int,
         limits: LimitSettings,
         on_unused: Callable[["UpstreamPool"], None],
+        names: HeaderNames = DEFAULT_NAMES,
     ) -> None:
         self._address = address
+        self._names = names
         self._limit = limit
         self._limits = limits
         self._on_unused = on_unused
@@ -46,6 +113,7 @@
         self.proven = False
         # Attempts given up since the last answer, such as those that lost to a hedge.
         self.unanswered = 0
+        self._keep_alive = ""
         self._session = self._open()
 
     @property
@@ -56,10 +124,16 @@
     def session(self) -> aiohttp.ClientSession:
         return self._session
 
-    def note_answer(self) -> None:
-        """Note that a connection of this pool works."""
+    def note_answer(self, keep_alive: str | None = None) -> None:
+        """Note that a connection of this pool works, and how long it is kept."""
         self.proven = True
         self.unanswered = 0
+        if keep_alive is not None and keep_alive != self._keep_alive:
+            self._keep_alive = keep_alive
+            seconds = _keep_alive_seconds(keep_alive)
+            if seconds is not None:
+                limit = max(LEAST_KEEP_ALIVE_S, seconds - KEEP_ALIVE_MARGIN_S)
+                self._session.connector.limit_idle(limit)
 
     def enter(self) -> None:
         """Count a call that uses this pool."""
@@ -83,8 +157,11 @@
 
     def _open(self) -> aiohttp.ClientSession:
         session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
-                limit=self._limit, keepalive_timeout=IDLE_TIMEOUT_S, use_dns_cache=False
+            connector=_Connector(
+                self._names.request_id,
+                limit=self._limit,
+                keepalive_timeout=self._limits.idle_timeout_s,
+                use_dns_cache=False,
             ),
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
@@ -106,9 +183,14 @@
     """Hold one pool for each upstream address."""
 
     def __init__(
-        self, limits: LimitSettings, fleet_size: int, metrics: Metrics
+        self,
+        limits: LimitSettings,
+        fleet_size: int,
+        metrics: Metrics,
+        names: HeaderNames = DEFAULT_NAMES,
     ) -> None:
         self._limits = limits
+        self._names = names
         self._fleet_size = fleet_size
         self._metrics = metrics
         self._pools: dict[str, UpstreamPool] = {}
@@ -119,7 +201,9 @@
         pool = self._pools.get(address)
         if pool is None:
             share = max(MIN_CONNECTIONS, connections_per_upstream // self._fleet_size)
-            pool = UpstreamPool(address, share, self._limits, self._close_later)
+            pool = UpstreamPool(
+                address, share, self._limits, self._close_later, self._names
+            )
             self._pools[address] = pool
         return pool
 
@@ -141,6 +225,11 @@
                 del self._pools[pool.address]
                 pool.retire()
 
+    def keep_only(self, addresses: set[str]) -> None:
+        """Retire the pools of upstreams that are gone."""
+        for address in set(self._pools) - addresses:
+            self._pools.pop(address).retire()
+
     async def close(self) -> None:
         """Close all connections."""
         for pool in self._pools.values():
@@ -152,3 +241,12 @@
         task = asyncio.ensure_future(pool.close())
         self._closing.add(task)
         task.add_done_callback(self._closing.discard)
+
+
+def _keep_alive_seconds(value: str) -> float | None:
+    """Return the timeout of a `Keep-Alive` header, if it states one."""
+    for part in value.split(","):
+        name, _, number = part.strip().partition("=")
+        if name.lower() == "timeout" and number.isdigit():
+            return float(number)
+    return None
--- a/src/dogwoodshed/_internal/proxy/headers.py
+++ b/src/dogwoodshed/_internal/proxy/headers.py
@@ -1,5 +1,7 @@
 """Name the headers that the gateway reads and writes."""
 
+from typing import NamedTuple
+
 from multidict import CIMultiDict, CIMultiDictProxy, istr
 
 # Remaining time in milliseconds, so that hosts need no common clock.
@@ -10,6 +12,26 @@
 IDEMPOTENCY_KEY = istr("Idempotency-Key")
 RAN = istr("X-Request-Ran")
 
+
+class HeaderNames(NamedTuple):
+    """The headers by which callers, gateways and upstreams understand each other."""
+
+    timeout_ms: str = TIMEOUT_MS
+    caller: str = CALLER
+    # None where the deployment knows no such header.
+    rank: str | None = RANK
+    depth: str | None = DEPTH
+    idempotency_key: str | None = IDEMPOTENCY_KEY
+    # Echoed by upstreams, so that a late answer to another request is recognised.
+    request_id: str | None = None
+    # Names the instance that a request is meant for; any other refuses it.
+    instance: str | None = None
+    # A successful answer without this header is not the upstream's.
+    proof: str | None = None
+
+
+DEFAULT_NAMES = HeaderNames()
+
 # Only the gateway itself tells whether a request ran. An upstream that passes on the
 # answer of a call that it made would otherwise speak for the outer call.
 _GATEWAY_ONLY = frozenset({"x-request-ran"})
--- a/src/dogwoodshed/_internal/proxy/problems.py
+++ b/src/dogwoodshed/_internal/proxy/problems.py
@@ -1,11 +1,18 @@
 """Turn failures of calls into `application/problem+json` answers (RFC 9457)."""
 
 import json
+import random
 
 from dogwoodshed._internal.exceptions import CallError
 from dogwoodshed._internal.proxy import headers
 from dogwoodshed._internal.proxy.responses import WholeResponse
 
+_RETRY_STATUSES = frozenset({429, 503})
+# A burst or a slow spell of an upstream lasts longer than a service time; callers wait
+# for at most a third of what they have left, which is often below half a second.
+RETRY_AFTER_LEAST_S = 0.1
+RETRY_AFTER_MOST_S = 0.3
+
 
 def problem_response(error: CallError) -> WholeResponse:
     """Build the answer that tells a caller whether its request ran."""
@@ -16,9 +23,14 @@
         "detail": str(error),
         "ran": error.ran,
     }
+    response_headers = {headers.RAN: error.ran}
+    if error.status in _RETRY_STATUSES:
+        # Spread, so that callers that were refused together do not return together.
+        delay = random.uniform(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S)
+        response_headers["Retry-After"] = f"{delay:.2f}"
     return WholeResponse(
         status=error.status,
         body=json.dumps(body).encode(),
         content_type="application/problem+json",
-        headers={headers.RAN: error.ran},
+        headers=response_headers,
     )
--- a/src/dogwoodshed/_internal/proxy/relay.py
+++ b/src/dogwoodshed/_internal/proxy/relay.py
@@ -5,6 +5,7 @@
     CallError,
     NotRunError,
     OutcomeUnknownError,
+    UpstreamUnreachableError,
 )
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.answers import Answer, OutboundRequest
@@ -84,11 +85,13 @@
             slot = None
             try:
                 slot = await self._router.acquire(
-                    call, exclude=_exclusions(call, course)
+                    call, exclude=self._exclusions(call, course)
                 )
                 answer = await self._attempt(call, request, slot, course)
             except NotRunError as error:
-                if slot is None or not self._takes_move(call, request, slot, course):
+                if slot is None or not self._takes_move(
+                    call, request, slot, course, error
+                ):
                     return course.settle(error)
             except OutcomeUnknownError as error:
                 course.kept = course.kept or error
@@ -102,7 +105,12 @@
                 course.keep(answer)
 
     def _takes_move(
-        self, call: Call, request: OutboundRequest, slot: Slot, course: _Course
+        self,
+        call: Call,
+        request: OutboundRequest,
+        slot: Slot,
+        course: _Course,
+        error: NotRunError,
     ) -> bool:
         if course.kept is None:
             call.dispatched = False
@@ -110,8 +118,13 @@
         now = self._clock.monotonic()
         if (
             not request.body.replayable
-            or len(course.tried) >= len(call.service.upstreams)
-            or not self._retries.take_move(call, course.moved, now)
+            or len(course.tried) >= self._router.count_upstreams(call.service)
+            or not self._retries.take_move(
+                call,
+                course.moved,
+                now,
+                arrived=not isinstance(error, UpstreamUnreachableError),
+            )
         ):
             return False
         course.moved += 1
@@ -130,7 +143,8 @@
     ) -> bool:
         course.tried.add(slot.upstream.address)
         if not request.body.whole or (
-            elsewhere and len(course.tried) >= len(call.service.upstreams)
+            elsewhere
+            and len(course.tried) >= self._router.count_upstreams(call.service)
         ):
             return False
         now = self._clock.monotonic()
@@ -154,7 +168,7 @@
             )
 
         delay = self._hedges.delay(call)
-        others = len(call.service.upstreams) - len(course.tried)
+        others = self._router.count_upstreams(call.service) - len(course.tried)
         if delay is None or delay >= remaining or others < 2 or not request.body.whole:
             answer = await self._sender.send(call, request, slot, patience, may_give_up)
         else:
@@ -176,6 +190,13 @@
             self._hedges.observe(call, self._clock.monotonic() - started)
         return answer
 
+    def _exclusions(self, call: Call, course: _Course) -> frozenset[str]:
+        tried = course.tried
+        # With every upstream tried, a repeat takes a new connection to one of them.
+        if not tried or len(tried) >= self._router.count_upstreams(call.service):
+            return _NONE
+        return frozenset(tried)
+
     def _patience(self, call: Call, remaining: float) -> float:
         patience = min(self._progress_timeout, remaining / 2)
         p95 = self._hedges.p95(call)
@@ -183,11 +204,3 @@
             patience = max(patience, LEAST_PATIENCE_PER_P95 * p95)
             patience = min(patience, MOST_PATIENCE_PER_P95 * p95)
         return max(patience, MIN_PATIENCE_S)
-
-
-def _exclusions(call: Call, course: _Course) -> frozenset[str]:
-    tried = course.tried
-    # With every upstream tried, a repeat takes a new connection to one of them.
-    if not tried or len(tried) >= len(call.service.upstreams):
-        return _NONE
-    return frozenset(tried)
--- a/src/dogwoodshed/_internal/proxy/replies.py
+++ b/src/dogwoodshed/_internal/proxy/replies.py
@@ -88,6 +88,8 @@
     parts = answer.response.content.iter_any()
     try:
         await response.prepare(request)
+        if answer.head:
+            await response.write(answer.head)
         while True:
             part = await _next_part(parts, answer, progress_timeout)
             if part is None:
--- a/src/dogwoodshed/_internal/proxy/requests.py
+++ b/src/dogwoodshed/_internal/proxy/requests.py
@@ -10,13 +10,14 @@
 from dogwoodshed._internal.exceptions import (
     ExpectationError,
     MalformedRequestError,
+    NoConfigurationError,
     NoRouteError,
     RequestTimeoutError,
     UnsupportedRequestError,
 )
-from dogwoodshed._internal.proxy import headers
 from dogwoodshed._internal.proxy.body import RequestBody
 from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.proxy.headers import DEFAULT_NAMES, HeaderNames
 from dogwoodshed._internal.proxy.routes import Routes
 from dogwoodshed._internal.settings import LimitSettings
 
@@ -40,27 +41,37 @@
         raise MalformedRequestError(f"{hosts} Host headers")
 
 
-def parse_call(request: web.BaseRequest, routes: Routes, started: float) -> Call:
+def parse_call(
+    request: web.BaseRequest,
+    routes: Routes,
+    started: float,
+    names: HeaderNames = DEFAULT_NAMES,
+) -> Call:
     """Find the service and kind of a request; raises NotRunError."""
-    path = request.path
-    service = routes.find(path)
-    kind = service.find_kind(request.method, path) if service else None
-    if service is None or kind is None:
-        raise NoRouteError(path)
-    time_limit = _number(request, headers.TIMEOUT_MS, kind.deadline * 1000) / 1000
-    rank = int(_number(request, headers.RANK, kind.rank.position))
-    key = request.headers.get(headers.IDEMPOTENCY_KEY)
+    if routes.configuration is None:
+        # Not 404, which would tell the caller that no configuration has the route.
+        raise NoConfigurationError("starting")
+    destination = routes.resolve(request.host, request.method, request.path)
+    if destination is None:
+        raise NoRouteError(request.path)
+    service, kind = destination
+    time_limit = _number(request, names.timeout_ms, kind.deadline * 1000) / 1000
+    rank = int(_number(request, names.rank, kind.rank.position))
+    key = request.headers.get(names.idempotency_key) if names.idempotency_key else None
     if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
-        raise MalformedRequestError(f"{headers.IDEMPOTENCY_KEY}: length")
+        raise MalformedRequestError(f"{names.idempotency_key}: length")
     return Call(
         service,
         kind,
-        caller=request.headers.get(headers.CALLER) or request.remote or "",
+        request_id=request.headers.get(names.request_id, "")
+        if names.request_id
+        else "",
+        caller=request.headers.get(names.caller) or request.remote or "",
         arrived=started,
         deadline=started + min(time_limit, kind.deadline),
         # A nested call is never more urgent than the call that it serves.
         rank=min(max(rank, kind.rank.position), len(routes.configuration.ranks) - 1),
-        depth=min(MAX_DEPTH, int(_number(request, headers.DEPTH, 0))),
+        depth=min(MAX_DEPTH, int(_number(request, names.depth, 0))),
         key=key,
     )
 
@@ -92,8 +103,8 @@
         raise MalformedRequestError("request body") from error
 
 
-def _number(request: web.BaseRequest, name: str, default: float) -> float:
-    text = request.headers.get(name)
+def _number(request: web.BaseRequest, name: str | None, default: float) -> float:
+    text = request.headers.get(name) if name is not None else None
     if text is None:
         return default
     try:
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -21,6 +21,7 @@
 from dogwoodshed._internal.proxy.answers import Answer, OutboundRequest
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.proxy.callers import CallerConnections
+from dogwoodshed._internal.proxy.headers import DEFAULT_NAMES, HeaderNames
 from dogwoodshed._internal.proxy.replies import (
     CALLER_STALL_S,
     send_answer,
@@ -58,6 +59,11 @@
     retries: int = 0
     hedges: int = 0
     double_prevented: bool = False
+    request_id: str = ""
+    # The upstreams that the call was sent to, each with the time and the end.
+    upstreams: tuple[str, ...] = ()
+    # Why the gateway answered by itself.
+    reason: str = ""
 
 
 class Recorder(Protocol):
@@ -85,7 +91,10 @@
         limits: LimitSettings,
         clock: Clock,
         metrics: Metrics,
+        names: HeaderNames = DEFAULT_NAMES,
     ) -> None:
+        self._names = names
+        self._stopping = False
         self._store = store
         self._routes = Routes(None)
         self._forwarder = forwarder
@@ -110,6 +119,10 @@
     def in_flight(self) -> int:
         return self._in_flight
 
+    @property
+    def _closing(self) -> bool:
+        return self._stopping or not self._accepting
+
     async def listen(self, ip: str, port: int) -> None:
         """Start to accept connections."""
         self._server = CallerConnections(
@@ -131,6 +144,14 @@
         self._port = self._socket.getsockname()[1]
         self._accepting = True
 
+    async def linger(self, seconds: float) -> None:
+        """Take new connections for a while, each for one more request.
+
+        A balancer notices only after some checks that this gateway leaves.
+        """
+        self._stopping = True
+        await asyncio.sleep(seconds)
+
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections finish their requests."""
         if not self._accepting:
@@ -177,20 +198,22 @@
         try:
             check_request(request)
             if self._routes.configuration is not self._store.current:
-                self._routes = Routes(self._store.current)
-            call = parse_call(request, self._routes, started)
+                self._routes = Routes(self._store.current, self._routes)
+            call = parse_call(request, self._routes, started, self._names)
             outbound = await self._read(request, call)
             answer = await self._forward(call, outbound)
             response, end = await send_answer(
                 request,
                 answer,
                 self._limits.progress_timeout_s,
-                close=not self._accepting,
+                close=self._closing,
             )
             self._record_end(call, started, response.status, end)
         except CallError as error:
-            self._record(call, started, error.status, error.ran)
-            response = await send_problem(request, error, close=not self._accepting)
+            self._record(
+                call, started, error.status, error.ran, f"{error.title}: {error}"
+            )
+            response = await send_problem(request, error, close=self._closing)
         except asyncio.CancelledError:
             self._metrics.increment("calls.cancelled_by_caller")
             self._record(call, started, 499, "unknown")
@@ -209,12 +232,14 @@
             request, self._limits, call.deadline - self._clock.monotonic()
         )
         outbound_headers = headers.for_upstream(request.headers)
-        outbound_headers[headers.DEPTH] = str(call.depth + 1)
-        outbound_headers[headers.RANK] = str(call.rank)
+        if self._names.depth is not None:
+            outbound_headers[self._names.depth] = str(call.depth + 1)
+        if self._names.rank is not None:
+            outbound_headers[self._names.rank] = str(call.rank)
         return OutboundRequest(request.method, request.raw_path, outbound_headers, body)
 
     async def _forward(self, call: Call, outbound: OutboundRequest) -> Answer:
-        if call.idempotent:
+        if call.idempotent or not self._limits.finish_abandoned:
             return await self._forwarder.forward(call, outbound)
         return await self._forward_detached(call, outbound)
 
@@ -274,7 +299,14 @@
             self._metrics.increment("calls.answer_cut")
             self._record(call, started, AnswerCutError.status, AnswerCutError.ran)
 
-    def _record(self, call: Call | None, started: float, status: int, ran: str) -> None:
+    def _record(
+        self,
+        call: Call | None,
+        started: float,
+        status: int,
+        ran: str,
+        reason: str = "",
+    ) -> None:
         self._metrics.increment(f"calls.ran.{ran}")
         if call is None:
             return
@@ -297,6 +329,9 @@
                 call.retries,
                 call.hedges,
                 call.double_prevented,
+                call.request_id,
+                tuple(call.trace),
+                reason,
             )
         )
 
--- a/src/dogwoodshed/_internal/retries/budget.py
+++ b/src/dogwoodshed/_internal/retries/budget.py
@@ -16,6 +16,11 @@
     def available(self) -> bool:
         return self._tokens >= 1
 
+    def set_reserve(self, reserve: float) -> None:
+        """Change the most tokens that are kept."""
+        self._reserve = reserve
+        self._tokens = min(self._tokens, reserve)
+
     def earn(self) -> None:
         """Count a call of the traffic."""
         tokens = self._tokens + self._share
@@ -37,6 +42,12 @@
         self._reserve = reserve
         self._budgets: dict[str, Budget] = {}
 
+    def set_reserve(self, reserve: float) -> None:
+        """Change what may come on top, as the fleet grows or shrinks."""
+        self._reserve = reserve
+        for budget in self._budgets.values():
+            budget.set_reserve(reserve)
+
     def of(self, service: str) -> Budget:
         """Return the budget of a service."""
         budget = self._budgets.get(service)
--- /dev/null
+++ b/src/dogwoodshed/_internal/retries/fleet.py
@@ -0,0 +1,117 @@
+"""Bound further attempts by a budget that the whole fleet shares."""
+
+from collections.abc import Callable
+
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.retries.budget import ServiceBudgets
+from dogwoodshed._internal.retries.hedges import HedgePolicy
+from dogwoodshed._internal.retries.policy import RetryPolicy
+from dogwoodshed._internal.settings import RetrySettings
+
+# Gateways count in windows of their own, which do not end together.
+BUDGET_USED = 0.75
+# Below one token a gateway could never repeat anything.
+LEAST_RESERVE = 1.0
+# Nine calls in ten on an unburdened upstream end within this many service times.
+HEDGE_SERVICE_TIMES = 1.45
+
+
+class FleetBudget:
+    """Hold this gateway's share of what a service may get beyond first arrivals."""
+
+    def __init__(self, settings: RetrySettings) -> None:
+        self._settings = settings
+        self._budgets = ServiceBudgets(
+            settings.ratio * BUDGET_USED, self._share_of_reserve(1)
+        )
+
+    def set_fleet_size(self, size: int) -> None:
+        """Divide the reserve among more or fewer gateways."""
+        self._budgets.set_reserve(self._share_of_reserve(size))
+
+    def earn(self, call: Call) -> None:
+        """Count a call of the traffic."""
+        self._budgets.of(call.service.name).earn()
+
+    def available(self, call: Call) -> bool:
+        """Tell whether one more arrival is allowed."""
+        return self._budgets.of(call.service.name).available
+
+    def take(self, call: Call) -> bool:
+        """Spend one arrival if it is allowed."""
+        return self._budgets.of(call.service.name).take()
+
+    def _share_of_reserve(self, size: int) -> float:
+        share = self._settings.reserve * BUDGET_USED / max(1, size)
+        return max(LEAST_RESERVE, share)
+
+
+class FleetRetryPolicy(RetryPolicy):
+    """Allow another attempt within the fleet's budget and the kind's bound."""
+
+    def __init__(
+        self, budget: FleetBudget, expected_work: Callable[[Call], float]
+    ) -> None:
+        super().__init__()
+        self._budget = budget
+        self._expected_work = expected_work
+
+    def note_call(self, call: Call) -> None:
+        """Count a call of the traffic."""
+        self._budget.earn(call)
+
+    def take_move(
+        self, call: Call, moved: int, now: float, *, arrived: bool = True
+    ) -> bool:
+        """Allow or refuse to move a call that certainly did not run."""
+        if not self._has_time(call, now):
+            return False
+        # What never reached an upstream is no arrival there.
+        return not arrived or (call.may_be_sent and self._budget.take(call))
+
+    def may_repeat(self, call: Call, repeated: int, now: float) -> bool:
+        """Tell whether a call that may have run could be sent again."""
+        return (
+            call.idempotent
+            and call.may_be_sent
+            and self._has_time(call, now)
+            and self._budget.available(call)
+        )
+
+    def take_repeat(self, call: Call, repeated: int, now: float) -> bool:
+        """Allow or refuse to send a call that may have run again."""
+        return self.may_repeat(call, repeated, now) and self._budget.take(call)
+
+    def _has_time(self, call: Call, now: float) -> bool:
+        return now + self._expected_work(call) < call.deadline
+
+
+class FleetHedgePolicy(HedgePolicy):
+    """Send a second attempt when the first takes longer than the work explains."""
+
+    def __init__(
+        self, budget: FleetBudget, expected_work: Callable[[Call], float]
+    ) -> None:
+        super().__init__()
+        self._budget = budget
+        self._expected_work = expected_work
+
+    def note_call(self, call: Call) -> None:
+        """Leave the counting to the retry policy, which shares the budget."""
+
+    def observe(self, call: Call, elapsed: float) -> None:
+        """Leave the service times to the router."""
+
+    def p95(self, call: Call) -> float | None:
+        """Let attempts run to their deadline; a hedge covers the silent ones."""
+        return call.kind.deadline
+
+    def delay(self, call: Call) -> float | None:
+        """Return how long to wait before a hedge, or None for no hedge."""
+        if not (call.idempotent and call.may_be_sent):
+            return None
+        return HEDGE_SERVICE_TIMES * self._expected_work(call)
+
+    def take(self, call: Call) -> bool:
+        """Allow or refuse one hedge."""
+        return call.may_be_sent and self._budget.take(call)
--- a/src/dogwoodshed/_internal/retries/policy.py
+++ b/src/dogwoodshed/_internal/retries/policy.py
@@ -42,7 +42,9 @@
             self._repeats.of(call.service.name).earn()
         self._moves.of(call.service.name).earn()
 
-    def take_move(self, call: Call, moved: int, now: float) -> bool:
+    def take_move(
+        self, call: Call, moved: int, now: float, *, arrived: bool = True
+    ) -> bool:
         """Allow or refuse to move a call that certainly did not run."""
         if not self._enabled or now >= call.deadline:
             return False
--- a/src/dogwoodshed/_internal/routing/base.py
+++ b/src/dogwoodshed/_internal/routing/base.py
@@ -32,6 +32,10 @@
     in_flight: int | None = None
     slots: int | None = None
     draining: bool = False
+    # How long work takes there at this moment, 1 being as usual.
+    slowness: float | None = None
+    # The instance that answered, where upstreams name it.
+    instance: str = ""
 
 
 class Outcome(NamedTuple):
@@ -114,6 +118,10 @@
         """Return the load by service for the heartbeat, if the policy shares it."""
         return ()
 
+    def count_upstreams(self, service: Service) -> int:
+        """Return how many upstreams a service has."""
+        return len(service.upstreams)
+
     @abstractmethod
     async def acquire(
         self, call: Call, *, exclude: frozenset[str] = frozenset()
--- /dev/null
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -0,0 +1,165 @@
+"""Estimate how long a call would take on each upstream."""
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple
+
+# Slowness reports lose half of their meaning within this time; shared machines change
+# their load several times a second.
+SLOWNESS_HALF_LIFE_S = 0.25
+# What an upstream without news is expected to be, until reports say what is usual.
+USUAL_SLOWNESS = 1.5
+USUAL_WEIGHT = 0.01
+# An upstream that has just started takes about twice as long.
+COLD_FACTOR = 1.6
+# A call to another data centre costs transit and its bytes; in usual service times.
+REMOTE_SERVICE_TIMES = 0.35
+# An absent entry means a crash or a departure more often than a lapse.
+ABSENT_SERVICE_TIMES = 1.0
+# A fully used upstream slows its calls down; in shares of the service time.
+CROWDING = 0.25
+# A failed call costs its caller everything; in usual service times.
+FAILURE_SERVICE_TIMES = 8.0
+ERROR_WEIGHT = 0.15
+ERROR_HALF_LIFE_S = 2.0
+WORK_WEIGHT = 0.04
+# Before any sample, work takes this share of the time in which an answer is worth most.
+FIRST_WORK_SHARE = 0.35
+# Only calls on machines that were not slow tell how long the work itself takes.
+CLEAN_SLOWNESS = 1.25
+LARGEST_SAMPLE = 3.0
+# Gateways with the same view must not all choose the same upstream.
+JITTER = 0.12
+
+
+class WorkEstimate:
+    """Follow how long the work of one kind takes on an unburdened upstream."""
+
+    __slots__ = ("_mean",)
+
+    def __init__(self, first: float) -> None:
+        self._mean = first
+
+    @property
+    def mean(self) -> float:
+        return self._mean
+
+    def observe(self, elapsed: float, slowness: float | None) -> None:
+        """Learn from a finished call."""
+        if slowness is not None and slowness > CLEAN_SLOWNESS:
+            return
+        sample = min(elapsed, LARGEST_SAMPLE * self._mean)
+        self._mean += WORK_WEIGHT * (sample - self._mean)
+
+
+class Pace:
+    """Follow how slow an upstream is and how often it fails."""
+
+    __slots__ = ("_error_at", "_error_rate", "_slowness", "_slowness_at")
+
+    def __init__(self) -> None:
+        self._slowness: float | None = None
+        self._slowness_at = 0.0
+        self._error_rate = 0.0
+        self._error_at = 0.0
+
+    @property
+    def reported_at(self) -> float:
+        return self._slowness_at
+
+    def note_slowness(self, slowness: float, now: float) -> None:
+        """Take over a report, 1 being as usual."""
+        self._slowness = slowness
+        self._slowness_at = now
+
+    def note_result(self, failed: bool, now: float) -> None:
+        """Count an attempt."""
+        rate = self.error_rate(now)
+        self._error_rate = rate + ERROR_WEIGHT * (failed - rate)
+        self._error_at = now
+
+    def slowness(self, usual: float, now: float) -> float:
+        """Return the expected slowness, which fades into the usual one."""
+        if self._slowness is None:
+            return usual
+        age = now - self._slowness_at
+        return usual + (self._slowness - usual) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+
+    def error_rate(self, now: float) -> float:
+        """Return the share of failures, which fades without attempts."""
+        age = max(0.0, now - self._error_at)
+        return self._error_rate * 0.5 ** (age / ERROR_HALF_LIFE_S)
+
+
+class UsualSlowness:
+    """Follow the slowness over all upstreams of a service."""
+
+    __slots__ = ("_mean",)
+
+    def __init__(self) -> None:
+        self._mean = USUAL_SLOWNESS
+
+    @property
+    def mean(self) -> float:
+        return self._mean
+
+    def observe(self, slowness: float) -> None:
+        """Learn from one report."""
+        self._mean += USUAL_WEIGHT * (slowness - self._mean)
+
+
+class Candidate(NamedTuple):
+    """What placement knows of one upstream."""
+
+    id: str
+    slots: int
+    # Calls of all gateways that it is at work on, as far as they are known.
+    in_flight: int
+    slowness: float
+    error_rate: float
+    remote: bool
+    absent: bool
+    cold: bool
+
+
+class Placement(NamedTuple):
+    """The best upstream for a call, and whether it has a free slot."""
+
+    id: str
+    free: bool
+    # Seconds until the answer, waiting for a slot included.
+    expected: float
+    # Seconds until the answer of the best upstream with a free slot, if any has one.
+    slowness: float
+
+
+def expected_time(candidate: Candidate, work: float) -> float:
+    """Return the seconds until an answer, waiting included."""
+    slowness = candidate.slowness * (COLD_FACTOR if candidate.cold else 1.0)
+    fill = min(1.0, (candidate.in_flight + 1) / candidate.slots)
+    service = work * slowness * (1 + CROWDING * fill)
+    queued = candidate.in_flight - candidate.slots + 1
+    if queued <= 0:
+        return service
+    return service + queued / candidate.slots * work * slowness
+
+
+def place(
+    candidates: Iterable[Candidate], work: float, generator: random.Random
+) -> Placement | None:
+    """Choose the upstream with the lowest cost for a call."""
+    best: Placement | None = None
+    lowest = float("inf")
+    for candidate in candidates:
+        expected = expected_time(candidate, work)
+        penalties = (
+            REMOTE_SERVICE_TIMES * candidate.remote
+            + ABSENT_SERVICE_TIMES * candidate.absent
+            + FAILURE_SERVICE_TIMES * candidate.error_rate
+        )
+        cost = (expected + penalties * work) * (1 + JITTER * generator.random())
+        if cost < lowest:
+            lowest = cost
+            free = candidate.in_flight < candidate.slots
+            best = Placement(candidate.id, free, expected, candidate.slowness)
+    return best
--- /dev/null
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -0,0 +1,541 @@
+"""Route on a view of all upstreams that the gateways share."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from dogwoodshed._internal.admission.queue import RankedQueue, Waiter
+from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.configuration.model import (
+    Configuration,
+    Rank,
+    Service,
+    Upstream,
+)
+from dogwoodshed._internal.directory.table import ListedUpstream
+from dogwoodshed._internal.exceptions import (
+    DeadlineExpiredInQueueError,
+    DeadlineUnreachableError,
+    NoUpstreamError,
+    QueueFullError,
+)
+from dogwoodshed._internal.mesh.messages import (
+    InFlight,
+    News,
+    UpstreamReport,
+    Waiting,
+)
+from dogwoodshed._internal.metrics import Metrics
+from dogwoodshed._internal.proxy.call import Call
+from dogwoodshed._internal.routing.base import (
+    LoadReport,
+    Outcome,
+    OutcomeStatus,
+    ProbeDuty,
+    Router,
+    RouterStatus,
+    Slot,
+    UpstreamStatus,
+)
+from dogwoodshed._internal.routing.placement import (
+    FIRST_WORK_SHARE,
+    Candidate,
+    Pace,
+    Placement,
+    UsualSlowness,
+    WorkEstimate,
+    place,
+)
+
+# Queued calls look again this often, since upstreams free slots for other gateways too.
+LOOK_AGAIN_S = 0.01
+# A slot that another gateway freed is seen by all; each takes it with the probability
+# of its share of the waiting calls, but looks again soon.
+SHED_BACKOFF_FIRST_S = 0.05
+SHED_BACKOFF_MOST_S = 0.4
+UNREACHABLE_BACKOFF_FIRST_S = 0.2
+UNREACHABLE_BACKOFF_MOST_S = 1.0
+# A call whose answer is expected later than this share of its time left is refused.
+LATEST_SHARE = 1.0
+# Counts of a gateway that was not heard for longer are dropped.
+FORGET_ORIGIN_S = 1.7
+PROBE_PATIENCE = 1.0
+
+
+class PlacedSlot(Slot):
+    """Permission to send one call to one upstream of the shared view."""
+
+    __slots__ = ("kind", "slowness", "state")
+
+    def __init__(
+        self, service: Service, state: "_State", call: Call, placement: Placement
+    ) -> None:
+        super().__init__(service, state.upstream)
+        self.state = state
+        self.kind = call.kind
+        self.slowness = placement.slowness
+
+
+class _State:
+    """What this gateway knows of one upstream."""
+
+    __slots__ = (
+        "closed_until",
+        "listed",
+        "others",
+        "own",
+        "pace",
+        "refusals",
+        "unreachable",
+        "upstream",
+    )
+
+    def __init__(self, listed: ListedUpstream) -> None:
+        self.listed = listed
+        self.upstream = _upstream_of(listed)
+        self.pace = Pace()
+        self.own = 0
+        self.others: dict[str, int] = {}
+        self.closed_until = 0.0
+        self.refusals = 0
+        self.unreachable = 0
+
+    @property
+    def in_flight(self) -> int:
+        return self.own + sum(self.others.values())
+
+
+def _upstream_of(listed: ListedUpstream) -> Upstream:
+    entry = listed.entry
+    return Upstream(entry.address, entry.data_centre, entry.id)
+
+
+class _Pool:
+    """Upstreams and queue of one service."""
+
+    def __init__(self, service: Service, ranks: tuple[Rank, ...], length: int) -> None:
+        self.service = service
+        self.states: dict[str, _State] = {}
+        self.queue: RankedQueue = RankedQueue(ranks, length)
+        self.usual = UsualSlowness()
+        self.work: dict[str, WorkEstimate] = {}
+        # Waiting calls of other gateways, by origin.
+        self.waiting_elsewhere: dict[str, tuple[int, ...]] = {}
+        self.timer: asyncio.TimerHandle | None = None
+
+    def work_of(self, call_kind: Any) -> WorkEstimate:
+        estimate = self.work.get(call_kind.name)
+        if estimate is None:
+            first = FIRST_WORK_SHARE * call_kind.time_limit
+            estimate = self.work[call_kind.name] = WorkEstimate(first)
+        return estimate
+
+
+class SharedContext(NamedTuple):
+    """What the shared view may use."""
+
+    data_centre: str
+    queue_length: int
+    # Asks for news to be sent soon.
+    publish: Callable[[], None]
+    # Tells whether this gateway probes the upstreams of a data centre.
+    probes: Callable[[str], bool]
+    clock: Clock
+    metrics: Metrics
+
+
+class SharedRouter(Router):
+    """Choose by the calls in flight and the slowness that all gateways report."""
+
+    name = "shared"
+
+    def __init__(self, context: SharedContext) -> None:
+        self._context = context
+        self._clock = context.clock
+        self._metrics = context.metrics
+        self._random = random.Random()
+        self._pools: dict[str, _Pool] = {}
+        self._listed: dict[str, list[ListedUpstream]] = {}
+        self._states: dict[str, _State] = {}
+        self._pool_of: dict[str, _Pool] = {}
+        self._heard_at: dict[str, float] = {}
+        # What the next news tells.
+        self._touched: set[str] = set()
+        self._reports: dict[str, UpstreamReport] = {}
+        self._waiting_changed = False
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Use the services of a new configuration."""
+        ranks = configuration.ranks
+        for service in configuration.services:
+            pool = self._pools.get(service.name)
+            if pool is None:
+                self._pools[service.name] = _Pool(
+                    service, ranks, self._context.queue_length
+                )
+            else:
+                pool.service = service
+        for name in set(self._pools) - {s.name for s in configuration.services}:
+            pool = self._pools[name]
+            if not pool.queue:
+                del self._pools[name]
+        self._distribute()
+
+    def apply_upstreams(self, listed: list[ListedUpstream]) -> None:
+        """Use the upstreams that the directory lists now."""
+        self._listed = {}
+        for upstream in listed:
+            self._listed.setdefault(upstream.entry.service, []).append(upstream)
+        self._distribute()
+
+    def _distribute(self) -> None:
+        states: dict[str, _State] = {}
+        for name, pool in self._pools.items():
+            pool_states = {}
+            for listed in self._listed.get(name, ()):
+                entry = listed.entry
+                state = self._states.get(entry.id)
+                if state is None or _restarted(state, listed):
+                    state = _State(listed)
+                state.listed = listed
+                state.upstream = _upstream_of(listed)
+                pool_states[entry.id] = states[entry.id] = state
+                self._pool_of[entry.id] = pool
+            pool.states = pool_states
+            self._serve(pool)
+        for gone in set(self._pool_of) - set(states):
+            del self._pool_of[gone]
+        self._states = states
+
+    def set_draining(self, address: str, draining: bool) -> None:
+        """Ignore reports of drains; the directory lists them in time."""
+
+    async def acquire(
+        self, call: Call, *, exclude: frozenset[str] = frozenset()
+    ) -> Slot:
+        """Wait for a slot; raises NotRunError."""
+        pool = self._pools.get(call.service.name)
+        if pool is None or not pool.states:
+            raise NoUpstreamError(call.service.name)
+        now = self._clock.monotonic()
+        placement = self._place(pool, call, exclude, now)
+        if placement is None:
+            raise NoUpstreamError(call.service.name)
+        if placement.free and not pool.queue.waiting_up_to(call.rank):
+            return self._take(pool, call, placement)
+        self._refuse_late(pool, call, placement, now)
+        return await self._wait(pool, call, exclude)
+
+    async def _wait(self, pool: _Pool, call: Call, exclude: frozenset[str]) -> Slot:
+        future = asyncio.get_running_loop().create_future()
+        waiter = Waiter(call, future, exclude)
+        victim = pool.queue.push(waiter)
+        if victim is not None and not victim.token.done():
+            victim.token.set_exception(QueueFullError(pool.service.name))
+        self._note_waiting()
+        self._set_timer(pool)
+        slot: PlacedSlot | None = None
+        try:
+            async with asyncio.timeout(call.deadline - self._clock.monotonic()):
+                slot = await future
+            return slot
+        except TimeoutError:
+            raise DeadlineExpiredInQueueError(pool.service.name) from None
+        finally:
+            pool.queue.remove(waiter)
+            self._note_waiting()
+            if slot is None:
+                self._recover(future)
+
+    def _recover(self, future: "asyncio.Future[PlacedSlot]") -> None:
+        """Free a slot that was granted in the moment in which the wait ended."""
+        if future.done() and not future.cancelled() and future.exception() is None:
+            self._leave(future.result())
+
+    def release(self, slot: Slot, outcome: Outcome) -> None:
+        """Learn from the end of a call."""
+        now = self._clock.monotonic()
+        self._leave(slot)
+        state, pool = slot.state, self._pools.get(slot.service.name)
+        if pool is None:
+            return
+        slowness = self._learn(pool, state, outcome, now)
+        if outcome.status is OutcomeStatus.ANSWERED and state.in_flight < 2:
+            pool.work_of(slot.kind).observe(outcome.elapsed, slowness)
+        self._serve(pool)
+
+    def _learn(
+        self, pool: _Pool, state: _State, outcome: Outcome, now: float
+    ) -> float | None:
+        slowness = outcome.report.slowness if outcome.report is not None else None
+        failed = self._note_status(state, outcome.status, now)
+        if slowness is not None:
+            state.pace.note_slowness(slowness, now)
+            pool.usual.observe(slowness)
+        if failed is not None:
+            state.pace.note_result(failed, now)
+        if slowness is not None or failed:
+            self._reports[state.listed.entry.id] = UpstreamReport(
+                state.listed.entry.id, round((slowness or 0) * 100), bool(failed)
+            )
+            self._context.publish()
+        return slowness
+
+    def _note_status(
+        self, state: _State, status: OutcomeStatus, now: float
+    ) -> bool | None:
+        """Return whether an attempt failed, or None if that is not known."""
+        if status is OutcomeStatus.CANCELLED:
+            return None
+        if status is OutcomeStatus.REFUSED:
+            state.refusals += 1
+            backoff = SHED_BACKOFF_FIRST_S * 2 ** min(state.refusals - 1, 6)
+            state.closed_until = now + min(SHED_BACKOFF_MOST_S, backoff)
+            return True
+        if status is OutcomeStatus.UNREACHABLE:
+            state.unreachable += 1
+            backoff = UNREACHABLE_BACKOFF_FIRST_S * 2 ** min(state.unreachable, 6)
+            state.closed_until = now + min(UNREACHABLE_BACKOFF_MOST_S, backoff)
+            return True
+        if status is OutcomeStatus.ANSWERED:
+            state.refusals = state.unreachable = 0
+            return False
+        return True
+
+    def _take(self, pool: _Pool, call: Call, placement: Placement) -> PlacedSlot:
+        state = pool.states[placement.id]
+        state.own += 1
+        self._touched.add(placement.id)
+        self._context.publish()
+        return PlacedSlot(pool.service, state, call, placement)
+
+    def _leave(self, slot: PlacedSlot) -> None:
+        slot.state.own -= 1
+        self._touched.add(slot.state.listed.entry.id)
+        self._context.publish()
+
+    def _place(
+        self, pool: _Pool, call: Call, exclude: frozenset[str], now: float
+    ) -> Placement | None:
+        work = pool.work_of(call.kind).mean
+        candidates = self._candidates(pool, exclude, now)
+        return place(candidates, work, self._random)
+
+    def _candidates(
+        self, pool: _Pool, exclude: frozenset[str], now: float
+    ) -> list[Candidate]:
+        usual = pool.usual.mean
+        found = []
+        closed = []
+        for upstream_id, state in pool.states.items():
+            if state.upstream.address in exclude:
+                continue
+            listed = state.listed
+            candidate = Candidate(
+                upstream_id,
+                max(1, listed.entry.slots),
+                state.in_flight,
+                state.pace.slowness(usual, now),
+                state.pace.error_rate(now),
+                listed.entry.data_centre != self._context.data_centre,
+                listed.absent,
+                now < listed.cold_until,
+            )
+            (found if state.closed_until <= now else closed).append(candidate)
+        return found or closed
+
+    def _refuse_late(
+        self, pool: _Pool, call: Call, placement: Placement, now: float
+    ) -> None:
+        ahead = pool.queue.waiting_up_to(call.rank) + sum(
+            sum(waiting[: call.rank + 1]) for waiting in pool.waiting_elsewhere.values()
+        )
+        slots = sum(state.listed.entry.slots for state in pool.states.values())
+        work = pool.work_of(call.kind).mean
+        wait = ahead * work * pool.usual.mean / max(1, slots)
+        if placement.expected + wait > LATEST_SHARE * (call.deadline - now):
+            self._metrics.increment("queue.refused_early")
+            raise DeadlineUnreachableError(call.service.name)
+
+    def _serve(self, pool: _Pool) -> None:
+        """Give free slots to queued calls."""
+        while pool.queue:
+            now = self._clock.monotonic()
+            waiter = pool.queue.peek()
+            call = waiter.call
+            work = pool.work_of(call.kind).mean
+            if now + work > call.deadline:
+                pool.queue.remove(waiter)
+                self._fail(waiter, DeadlineUnreachableError(pool.service.name))
+                continue
+            placement = self._place(pool, call, waiter.exclude, now)
+            if placement is None or not placement.free:
+                break
+            pool.queue.pop()
+            if not waiter.token.done():
+                waiter.token.set_result(self._take(pool, call, placement))
+        if pool.queue:
+            self._set_timer(pool)
+
+    def _fail(self, waiter: Waiter, error: Exception) -> None:
+        self._metrics.increment("queue.refused")
+        if not waiter.token.done():
+            waiter.token.set_exception(error)
+
+    def _set_timer(self, pool: _Pool) -> None:
+        if pool.timer is None:
+            loop = asyncio.get_running_loop()
+            delay = LOOK_AGAIN_S * self._random.uniform(0.5, 1.5)
+            pool.timer = loop.call_later(delay, self._look_again, pool)
+
+    def _look_again(self, pool: _Pool) -> None:
+        pool.timer = None
+        self._serve(pool)
+
+    def _note_waiting(self) -> None:
+        self._waiting_changed = True
+        self._context.publish()
+
+    # News of other gateways and for them.
+
+    def compose(self, *, full: bool) -> dict[str, Any]:
+        """Return the fields of the next news that routing tells."""
+        fields: dict[str, Any] = {}
+        if full:
+            busy = [key for key, state in self._states.items() if state.own]
+        else:
+            busy = [key for key in self._touched if key in self._states]
+        if busy:
+            fields["in_flight"] = tuple(
+                InFlight(key, self._states[key].own) for key in busy
+            )
+        if self._reports:
+            fields["reports"] = tuple(self._reports.values())
+        if self._waiting_changed or full:
+            waiting = tuple(
+                Waiting(name, pool.queue.lengths)
+                for name, pool in self._pools.items()
+                if pool.queue or not full
+            )
+            if waiting:
+                fields["waiting"] = waiting
+        self._touched.clear()
+        self._reports.clear()
+        self._waiting_changed = False
+        return fields
+
+    def take_news(self, news: News, *, full: bool) -> None:
+        """Use what another gateway tells of its calls and of upstreams."""
+        now = self._clock.monotonic()
+        self._heard_at[news.origin] = now
+        if full:
+            for state in self._states.values():
+                state.others.pop(news.origin, None)
+            for pool in self._pools.values():
+                pool.waiting_elsewhere.pop(news.origin, None)
+        for item in news.in_flight:
+            state = self._states.get(item.upstream_id)
+            if state is None:
+                continue
+            if item.calls:
+                state.others[news.origin] = item.calls
+            else:
+                state.others.pop(news.origin, None)
+        for report in news.reports:
+            self._take_report(report, now)
+        for waiting in news.waiting:
+            pool = self._pools.get(waiting.service)
+            if pool is not None:
+                pool.waiting_elsewhere[news.origin] = waiting.by_rank
+
+    def _take_report(self, report: UpstreamReport, now: float) -> None:
+        state = self._states.get(report.upstream_id)
+        if state is None:
+            return
+        if report.slowness:
+            slowness = report.slowness / 100
+            state.pace.note_slowness(slowness, now)
+            self._pool_of[report.upstream_id].usual.observe(slowness)
+        state.pace.note_result(report.failed, now)
+
+    def forget_silent(self) -> None:
+        """Drop the counts of gateways that were not heard for a while."""
+        now = self._clock.monotonic()
+        for origin, heard_at in list(self._heard_at.items()):
+            if now - heard_at < FORGET_ORIGIN_S:
+                continue
+            del self._heard_at[origin]
+            for state in self._states.values():
+                state.others.pop(origin, None)
+            for pool in self._pools.values():
+                pool.waiting_elsewhere.pop(origin, None)
+
+    # Probes and status.
+
+    def probe_duties(self) -> tuple[ProbeDuty, ...]:
+        """Return the upstreams that this gateway probes."""
+        return tuple(
+            ProbeDuty(
+                pool.service.name,
+                state.upstream.address,
+                pool.service.probe_path,
+                pool.service.probe_budget_per_s,
+                state.pace.reported_at,
+            )
+            for pool in self._pools.values()
+            for state in pool.states.values()
+            if self._context.probes(state.upstream.data_centre)
+        )
+
+    def note_probe(self, duty: ProbeDuty, outcome: Outcome) -> None:
+        """Learn from a probe, whose speed says nothing of real calls."""
+        pool = self._pools.get(duty.service)
+        if pool is None:
+            return
+        for state in pool.states.values():
+            if state.upstream.address == duty.address and _is_same(
+                state, outcome.report
+            ):
+                self._learn(pool, state, outcome, self._clock.monotonic())
+
+    def count_upstreams(self, service: Service) -> int:
+        """Return how many upstreams a service has."""
+        pool = self._pools.get(service.name)
+        return len(pool.states) if pool is not None else 0
+
+    def expected_work(self, call: Call) -> float:
+        """Return how long the work of a call usually takes, in seconds."""
+        pool = self._pools.get(call.service.name)
+        if pool is None:
+            return FIRST_WORK_SHARE * call.kind.time_limit
+        return pool.work_of(call.kind).mean
+
+    def snapshot(self) -> RouterStatus:
+        """Return the state for the status page."""
+        now = self._clock.monotonic()
+        queued = {
+            name: {str(i): n for i, n in enumerate(pool.queue.lengths)}
+            for name, pool in self._pools.items()
+        }
+        upstreams = tuple(
+            UpstreamStatus(
+                name,
+                state.upstream.address,
+                state.in_flight,
+                round(state.pace.slowness(pool.usual.mean, now) * 100, 1),
+                "absent" if state.listed.absent else None,
+            )
+            for name, pool in self._pools.items()
+            for state in pool.states.values()
+        )
+        return RouterStatus(self.name, queued, upstreams)
+
+
+def _restarted(state: _State, listed: ListedUpstream) -> bool:
+    before, after = state.listed.entry, listed.entry
+    return (before.started_ms, before.address) != (after.started_ms, after.address)
+
+
+def _is_same(state: _State, report: LoadReport | None) -> bool:
+    return report is None or not report.instance or report.instance == state.upstream.id
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -49,6 +49,8 @@
 
     listen: _Address = "127.0.0.1:0"
     peers: tuple[PeerSettings, ...] = ()
+    # First contacts of a gateway in a fleet whose members find each other.
+    seeds: tuple[_Address, ...] = ()
     heartbeat_s: Annotated[float, Field(gt=0)] = 0.25
     # Four missed heartbeats; fewer mistake a scheduling pause for a failure.
     dead_after_s: Annotated[float, Field(gt=0)] = 1.0
@@ -63,6 +65,21 @@
     store_bytes: Annotated[int, Field(ge=4096)] = 8 * 1024 * 1024
 
 
+class EndpointSettings(_Model):
+    """Where readiness and metrics are served; None leaves them out."""
+
+    readiness: _Address | None = None
+    metrics: _Address | None = None
+
+
+class RetrySettings(_Model):
+    """The fleet's budget for arrivals beyond the first of each call."""
+
+    # Share of the calls of a service, and what may come on top in a window.
+    ratio: Annotated[float, Field(ge=0, le=1)] = 0.1
+    reserve: Annotated[float, Field(ge=0)] = 10.0
+
+
 class LimitSettings(_Model):
     """Bounds on requests and buffers."""
 
@@ -72,6 +89,14 @@
     queue_length: Annotated[int, Field(ge=1)] = 10_000
     progress_timeout_s: Annotated[float, Field(gt=0)] = 5.0
     connect_timeout_s: Annotated[float, Field(gt=0)] = 1.0
+    # How long a stopping gateway takes new connections, until balancers noticed.
+    stop_linger_s: Annotated[float, Field(ge=0)] = 0.0
+    # Idle upstream connections are closed before the upstream would do so.
+    idle_timeout_s: Annotated[float, Field(gt=0)] = 4.0
+    # Lets a non-idempotent call go on when its caller has left, for its key's record.
+    finish_abandoned: bool = True
+    # Holds short answers without a length whole, so that a cut one can be repeated.
+    hold_unsized: bool = False
 
 
 class Settings(_Model):
@@ -87,6 +112,8 @@
     administration: AdministrationSettings = AdministrationSettings()
     reporting: ReportingSettings = ReportingSettings()
     limits: LimitSettings = LimitSettings()
+    endpoints: EndpointSettings = EndpointSettings()
+    retries: RetrySettings = RetrySettings()
     statsd: _Address | None = None
     stop_timeout_s: Annotated[float, Field(gt=0)] | None = None
     # A starting gateway waits this long for its peers before it trusts the platform.
--- a/tests/unit/test_platform_budget.py
+++ b/tests/unit/test_platform_budget.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from dogwoodshed._internal.platform.budget import PlatformPace, TokenBucket
+from dogwoodshed._internal.config_service.budget import PlatformPace, TokenBucket
 from dogwoodshed._internal.settings import PlatformSettings
 from tests.lib.mesh_fakes import ManualClock
 
