--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -24,6 +24,7 @@
 # Further gateways start to read one after the other, since one of them is enough.
 STANDBY_STEP_S = 0.15
 MOST_STANDBY_S = 1.0
+STANDBY_FIRST_READ_S = 0.8
 BACKOFF_FIRST_S = 0.1
 BACKOFF_MOST_S = 0.5
 STANDBY_BACKOFF_S = 2.0
@@ -57,7 +58,9 @@
         self._metrics = metrics
         self._random = random.Random()
         # Peers usually tell a starting gateway everything before this.
-        self._fresh_at = clock.monotonic() + first_read_after - STALE_AFTER_S
+        self._started_at = clock.monotonic()
+        self._first_read_after = first_read_after
+        self._fresh_at = self._started_at
         self._revision = 0
         self._reachable = True
 
@@ -105,9 +108,13 @@
                 await self.sleep(COALESCE_S)
 
     def _is_due(self) -> bool:
-        if self._revision == 0 and self.age < STALE_AFTER_S:
-            return False
         rank = self._rank()
+        if self._revision == 0:
+            # A whole fleet that starts must not read everything from every gateway.
+            delay = self._first_read_after
+            if rank >= PRIMARY_READERS:
+                delay += STANDBY_FIRST_READ_S + rank * STANDBY_STEP_S
+            return self._clock.monotonic() >= self._started_at + delay
         if rank < PRIMARY_READERS:
             return True
         delay = min(MOST_STANDBY_S, (rank - PRIMARY_READERS) * STANDBY_STEP_S)
--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -170,6 +170,12 @@
     title = "deadline passed before dispatch"
 
 
+class OverloadedError(NotRunError):
+    """Raised when a call would wait beyond the time in which its answer counts."""
+
+    title = "overloaded"
+
+
 class ShuttingDownError(NotRunError):
     """Raised when a stopping gateway refuses a new call."""
 
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -35,7 +35,7 @@
 
 # Peers bring a starting gateway up to date within a few round trips; it reads the
 # directory itself when none has by then.
-FIRST_READ_AFTER_S = 0.7
+FIRST_READ_AFTER_S = 0.15
 FORGET_TICK_S = 0.3
 
 
@@ -206,7 +206,9 @@
             self._router,
             sender,
             FleetRetryPolicy(self._budget, self._router.expected_work),
-            FleetHedgePolicy(self._budget, self._router.expected_work),
+            FleetHedgePolicy(
+                self._budget, self._router.expected_work, self._router.is_pressed
+            ),
             settings.limits.progress_timeout_s,
             self._clock,
             self._metrics,
--- a/src/dogwoodshed/_internal/proxy/call.py
+++ b/src/dogwoodshed/_internal/proxy/call.py
@@ -2,6 +2,9 @@
 
 from dogwoodshed._internal.configuration.model import Kind, Service
 
+# Below this a shorter time left is jitter of the caller, not an earlier try.
+LEAST_WAITED_BEFORE_S = 0.02
+
 
 class Call:
     """One request on its way to an upstream."""
@@ -21,8 +24,10 @@
         "rank",
         "request_id",
         "retries",
+        "returning",
         "service",
         "trace",
+        "waited_before",
     )
 
     def __init__(
@@ -48,6 +53,10 @@
         self.key = key
         # The caller's name for the request, empty without one.
         self.request_id = request_id
+        # Seconds that the caller spent on earlier tries of the same work, as far as its
+        # remaining time tells, and whether there were any.
+        self.waited_before = 0.0
+        self.returning = False
         # For the log: each attempt with its end.
         self.trace: list[str] = []
         # Upstreams that the call was sent to so far.
@@ -61,6 +70,12 @@
         self.hedges = 0
         self.double_prevented = False
 
+    def note_waited_before(self, seconds: float) -> None:
+        """Set what earlier tries of the same work took."""
+        if seconds > LEAST_WAITED_BEFORE_S:
+            self.waited_before = seconds
+            self.returning = True
+
     @property
     def may_be_sent(self) -> bool:
         """Tell whether the kind allows another upstream."""
--- a/src/dogwoodshed/_internal/proxy/requests.py
+++ b/src/dogwoodshed/_internal/proxy/requests.py
@@ -60,7 +60,7 @@
     key = request.headers.get(names.idempotency_key) if names.idempotency_key else None
     if key is not None and not 0 < len(key) <= MAX_KEY_LENGTH:
         raise MalformedRequestError(f"{names.idempotency_key}: length")
-    return Call(
+    call = Call(
         service,
         kind,
         request_id=request.headers.get(names.request_id, "")
@@ -74,6 +74,8 @@
         depth=min(MAX_DEPTH, int(_number(request, names.depth, 0))),
         key=key,
     )
+    call.note_waited_before(routes.waited_before(kind, time_limit))
+    return call
 
 
 async def read_body(
--- a/src/dogwoodshed/_internal/proxy/routes.py
+++ b/src/dogwoodshed/_internal/proxy/routes.py
@@ -52,8 +52,11 @@
         routes = configuration.routes if configuration else ()
         self._routes = {(route.host, route.prefix): route for route in routes}
         self._splits: dict[tuple, _Split] = {}
+        # The most time that callers of a kind were seen to have, in seconds.
+        self._most_time: dict[str, float] = {}
         if previous is not None:
             self._splits = previous._splits
+            self._most_time = previous._most_time
 
     @property
     def configuration(self) -> Configuration | None:
@@ -80,6 +83,12 @@
                 return route
         return None
 
+    def waited_before(self, kind: Kind, time_left: float) -> float:
+        """Return what a caller spent before, judged by the most time of its kind."""
+        most = max(self._most_time.get(kind.name, 0.0), time_left)
+        self._most_time[kind.name] = most
+        return most - time_left
+
     def resolve(self, host: str, method: str, path: str) -> Destination | None:
         """Return the service and the kind of a request."""
         if self._routes:
--- a/src/dogwoodshed/_internal/retries/fleet.py
+++ b/src/dogwoodshed/_internal/retries/fleet.py
@@ -14,6 +14,9 @@
 LEAST_RESERVE = 1.0
 # Nine calls in ten on an unburdened upstream end within this many service times.
 HEDGE_SERVICE_TIMES = 1.45
+# What a hedge itself needs to be in time, and the earliest that one is worth its load.
+HEDGE_RESERVE_SERVICE_TIMES = 1.25
+LEAST_HEDGE_SERVICE_TIMES = 1.15
 
 
 class FleetBudget:
@@ -90,11 +93,15 @@
     """Send a second attempt when the first takes longer than the work explains."""
 
     def __init__(
-        self, budget: FleetBudget, expected_work: Callable[[Call], float]
+        self,
+        budget: FleetBudget,
+        expected_work: Callable[[Call], float],
+        is_pressed: Callable[[Call], bool],
     ) -> None:
         super().__init__()
         self._budget = budget
         self._expected_work = expected_work
+        self._is_pressed = is_pressed
 
     def note_call(self, call: Call) -> None:
         """Leave the counting to the retry policy, which shares the budget."""
@@ -110,8 +117,19 @@
         """Return how long to wait before a hedge, or None for no hedge."""
         if not (call.idempotent and call.may_be_sent):
             return None
-        return HEDGE_SERVICE_TIMES * self._expected_work(call)
+        work = self._expected_work(call)
+        waited = 0.0
+        if call.dispatched_at is not None:
+            waited = call.dispatched_at - call.arrived
+        to_aim = call.kind.time_limit - call.waited_before - waited
+        in_time = to_aim - HEDGE_RESERVE_SERVICE_TIMES * work
+        return max(
+            LEAST_HEDGE_SERVICE_TIMES * work, min(HEDGE_SERVICE_TIMES * work, in_time)
+        )
 
     def take(self, call: Call) -> bool:
         """Allow or refuse one hedge."""
+        # While calls wait, a slot does more for one of them than for a hedge.
+        if self._is_pressed(call):
+            return False
         return call.may_be_sent and self._budget.take(call)
--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -44,10 +44,8 @@
     def mean(self) -> float:
         return self._mean
 
-    def observe(self, elapsed: float, slowness: float | None) -> None:
-        """Learn from a finished call."""
-        if slowness is not None and slowness > CLEAN_SLOWNESS:
-            return
+    def observe(self, elapsed: float) -> None:
+        """Learn from a finished call on an upstream that was neither slow nor full."""
         sample = min(elapsed, LARGEST_SAMPLE * self._mean)
         self._mean += WORK_WEIGHT * (sample - self._mean)
 
--- a/src/dogwoodshed/_internal/routing/shared.py
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -5,19 +5,23 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from dogwoodshed._internal.admission.queue import RankedQueue, Waiter
+from dogwoodshed._internal.admission.on_time import (
+    OnTimeQueue,
+    Pressure,
+    should_refuse,
+)
+from dogwoodshed._internal.admission.queue import Waiter
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.model import (
     Configuration,
-    Rank,
     Service,
     Upstream,
 )
 from dogwoodshed._internal.directory.table import ListedUpstream
 from dogwoodshed._internal.exceptions import (
-    DeadlineExpiredInQueueError,
     DeadlineUnreachableError,
     NoUpstreamError,
+    OverloadedError,
     QueueFullError,
 )
 from dogwoodshed._internal.mesh.messages import (
@@ -38,7 +42,9 @@
     Slot,
     UpstreamStatus,
 )
+from dogwoodshed._internal.routing.crowding import CrowdingEstimate
 from dogwoodshed._internal.routing.placement import (
+    CLEAN_SLOWNESS,
     FIRST_WORK_SHARE,
     Candidate,
     Pace,
@@ -56,17 +62,20 @@
 SHED_BACKOFF_MOST_S = 0.4
 UNREACHABLE_BACKOFF_FIRST_S = 0.2
 UNREACHABLE_BACKOFF_MOST_S = 1.0
-# A call whose answer is expected later than this share of its time left is refused.
-LATEST_SHARE = 1.0
+# Slower upstreams give answers that are late for most kinds, and count for nothing.
+MOST_USEFUL_SLOWNESS = 2.5
+# The view of other gateways' calls lags, so that some slots stand idle for a moment.
+CAPACITY_USED = 0.9
 # Counts of a gateway that was not heard for longer are dropped.
 FORGET_ORIGIN_S = 1.7
-PROBE_PATIENCE = 1.0
+# The mean service time follows the mix of kinds within about a hundred calls.
+MIX_WEIGHT = 0.02
 
 
 class PlacedSlot(Slot):
     """Permission to send one call to one upstream of the shared view."""
 
-    __slots__ = ("_reason", "kind", "state")
+    __slots__ = ("_reason", "kind", "level", "state")
 
     def __init__(
         self, service: Service, state: "_State", call: Call, placement: Placement
@@ -74,6 +83,8 @@
         super().__init__(service, state.upstream)
         self.state = state
         self.kind = call.kind
+        # Calls in flight there, this one included.
+        self.level = placement.in_flight + 1
         self._reason = (
             f"x{placement.slowness:.2f} {placement.in_flight}busy"
             f" {placement.age * 1000:.0f}ms-old"
@@ -121,16 +132,33 @@
 class _Pool:
     """Upstreams and queue of one service."""
 
-    def __init__(self, service: Service, ranks: tuple[Rank, ...], length: int) -> None:
+    def __init__(self, service: Service, ranks: int, length: int) -> None:
         self.service = service
         self.states: dict[str, _State] = {}
-        self.queue: RankedQueue = RankedQueue(ranks, length)
+        self.queue = OnTimeQueue(ranks, length)
+        self.crowding = CrowdingEstimate()
+        # Over all kinds, by how often they come.
+        self.mean_work: float | None = None
         self.usual = UsualSlowness()
         self.work: dict[str, WorkEstimate] = {}
         # Waiting calls of other gateways, by origin.
         self.waiting_elsewhere: dict[str, tuple[int, ...]] = {}
         self.timer: asyncio.TimerHandle | None = None
 
+    def limit(self, state: _State) -> int:
+        """Return how many calls an upstream should get at a time."""
+        return self.crowding.limit(max(1, state.listed.entry.slots))
+
+    def note_work(self, work: float) -> None:
+        """Count a call with its usual service time."""
+        if self.mean_work is None:
+            self.mean_work = work
+        self.mean_work += MIX_WEIGHT * (work - self.mean_work)
+
+    def call_work(self, call: Call) -> float:
+        """Return the usual service time of a call."""
+        return self.work_of(call.kind).mean
+
     def work_of(self, call_kind: Any) -> WorkEstimate:
         estimate = self.work.get(call_kind.name)
         if estimate is None:
@@ -174,7 +202,7 @@
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Use the services of a new configuration."""
-        ranks = configuration.ranks
+        ranks = len(configuration.ranks)
         for service in configuration.services:
             pool = self._pools.get(service.name)
             if pool is None:
@@ -229,9 +257,10 @@
         placement = self._place(pool, call, exclude, now)
         if placement is None:
             raise NoUpstreamError(call.service.name)
+        pool.note_work(pool.call_work(call))
         if placement.free and not pool.queue.waiting_up_to(call.rank):
             return self._take(pool, call, placement)
-        self._refuse_late(pool, call, placement, now)
+        self._refuse_early(pool, call, now)
         return await self._wait(pool, call, exclude)
 
     async def _wait(self, pool: _Pool, call: Call, exclude: frozenset[str]) -> Slot:
@@ -248,7 +277,7 @@
                 slot = await future
             return slot
         except TimeoutError:
-            raise DeadlineExpiredInQueueError(pool.service.name) from None
+            raise DeadlineUnreachableError(pool.service.name) from None
         finally:
             pool.queue.remove(waiter)
             self._note_waiting()
@@ -267,11 +296,24 @@
         state, pool = slot.state, self._pools.get(slot.service.name)
         if pool is None:
             return
-        slowness = self._learn(pool, state, outcome, now)
-        if outcome.status is OutcomeStatus.ANSWERED and state.in_flight < 2:
-            pool.work_of(slot.kind).observe(outcome.elapsed, slowness)
+        self._learn(pool, state, outcome, now)
+        if outcome.status is OutcomeStatus.ANSWERED:
+            self._learn_time(pool, slot, outcome)
         self._serve(pool)
 
+    def _learn_time(self, pool: _Pool, slot: PlacedSlot, outcome: Outcome) -> None:
+        report = outcome.report
+        if report is None or (report.slowness or 1.0) > CLEAN_SLOWNESS:
+            return
+        work = pool.work_of(slot.kind)
+        slots = slot.state.listed.entry.slots
+        if slot.level <= max(1, slots // 2):
+            work.observe(outcome.elapsed)
+        last_level = report.in_flight or 0
+        pool.crowding.observe(
+            slot.level, last_level, slots, outcome.elapsed / work.mean
+        )
+
     def _learn(
         self, pool: _Pool, state: _State, outcome: Outcome, now: float
     ) -> float | None:
@@ -333,15 +375,20 @@
         self, pool: _Pool, exclude: frozenset[str], now: float
     ) -> list[Candidate]:
         usual = pool.usual.mean
+        limits: dict[int, int] = {}
         found = []
         closed = []
         for upstream_id, state in pool.states.items():
             if state.upstream.address in exclude:
                 continue
             listed = state.listed
+            slots = listed.entry.slots
+            limit = limits.get(slots)
+            if limit is None:
+                limit = limits[slots] = pool.limit(state)
             candidate = Candidate(
                 upstream_id,
-                max(1, listed.entry.slots),
+                limit,
                 state.in_flight,
                 state.pace.slowness(usual, now),
                 state.pace.error_rate(now),
@@ -353,36 +400,47 @@
             (found if state.closed_until <= now else closed).append(candidate)
         return found or closed
 
-    def _refuse_late(
-        self, pool: _Pool, call: Call, placement: Placement, now: float
-    ) -> None:
+    def _refuse_early(self, pool: _Pool, call: Call, now: float) -> None:
+        pressure = self._pressure(pool, call, now)
+        if should_refuse(call, pool.call_work(call), pressure, now):
+            self._metrics.increment("queue.refused_early")
+            raise OverloadedError(
+                f"{call.service.name}: {pressure.ahead} ahead"
+                f" at {pressure.capacity:.0f}/s"
+            )
+
+    def _pressure(self, pool: _Pool, call: Call, now: float) -> Pressure:
         ahead = pool.queue.waiting_up_to(call.rank) + sum(
             sum(waiting[: call.rank + 1]) for waiting in pool.waiting_elsewhere.values()
         )
-        slots = sum(state.listed.entry.slots for state in pool.states.values())
-        work = pool.work_of(call.kind).mean
-        wait = ahead * work * pool.usual.mean / max(1, slots)
-        if placement.expected + wait > LATEST_SHARE * (call.deadline - now):
-            self._metrics.increment("queue.refused_early")
-            raise DeadlineUnreachableError(call.service.name)
+        work = pool.mean_work or pool.call_work(call)
+        usual = pool.usual.mean
+        capacity = 0.0
+        for state in pool.states.values():
+            slowness = state.pace.slowness(usual, now)
+            if slowness < MOST_USEFUL_SLOWNESS and state.closed_until <= now:
+                limit = pool.limit(state)
+                crowded = pool.crowding.time_at(limit, state.listed.entry.slots)
+                capacity += limit / (work * slowness * crowded)
+        return Pressure(ahead, CAPACITY_USED * capacity)
 
     def _serve(self, pool: _Pool) -> None:
         """Give free slots to queued calls."""
-        while pool.queue:
-            now = self._clock.monotonic()
-            waiter = pool.queue.peek()
-            call = waiter.call
-            work = pool.work_of(call.kind).mean
-            if now + work > call.deadline:
-                pool.queue.remove(waiter)
-                self._fail(waiter, DeadlineUnreachableError(pool.service.name))
-                continue
-            placement = self._place(pool, call, waiter.exclude, now)
+        if not pool.queue:
+            return
+        now = self._clock.monotonic()
+        for waiter in pool.queue.take_hopeless(pool.call_work, now):
+            self._fail(waiter, DeadlineUnreachableError(pool.service.name))
+        for waiter in pool.queue.ordered(pool.call_work, now):
+            placement = self._place(pool, waiter.call, waiter.exclude, now)
             if placement is None or not placement.free:
+                if waiter.exclude:
+                    continue
                 break
-            pool.queue.pop()
+            pool.queue.remove(waiter)
             if not waiter.token.done():
-                waiter.token.set_result(self._take(pool, call, placement))
+                waiter.token.set_result(self._take(pool, waiter.call, placement))
+        self._note_waiting()
         if pool.queue:
             self._set_timer(pool)
 
@@ -507,6 +565,13 @@
             ):
                 self._learn(pool, state, outcome, self._clock.monotonic())
 
+    def is_pressed(self, call: Call) -> bool:
+        """Tell whether calls of a service wait, here or at another gateway."""
+        pool = self._pools.get(call.service.name)
+        return pool is not None and (
+            len(pool.queue) > 0 or any(map(sum, pool.waiting_elsewhere.values()))
+        )
+
     def count_upstreams(self, service: Service) -> int:
         """Return how many upstreams a service has."""
         pool = self._pools.get(service.name)
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -2,8 +2,6 @@
 
 import base64
 import json
-import sys
-from pathlib import Path
 from typing import Any
 
 from dogwoodshed._internal.configuration.model import (
@@ -22,16 +20,9 @@
 from dogwoodshed._internal.routing.placement import Candidate
 from dogwoodshed._internal.routing.shared import SharedContext, SharedRouter
 
-ADAPTER = str(Path(__file__).resolve().parents[2] / "platform")
 RANKS = tuple(Rank(str(position), position, 0.0) for position in range(3))
 
 
-def use_adapter() -> None:
-    """Make the adapter importable, as its launcher does."""
-    if ADAPTER not in sys.path:
-        sys.path.insert(0, ADAPTER)
-
-
 class ManualClock:
     """Stand still until a test moves the time."""
 
--- a/tests/unit/test_adapter_decode.py
+++ b/tests/unit/test_adapter_decode.py
@@ -5,11 +5,7 @@
 
 from dogwoodshed._internal.exceptions import InvalidTextError
 from tests.lib import fleet_builders as builders
-
-builders.use_adapter()
-
-from adapter.decode import decode_configuration, decode_entry
-from adapter.headers import read_load
+from tests.lib.adapter import decode, headers
 
 CONFIGURATION = {
     "version": "00000007",
@@ -40,7 +36,7 @@
     def test_entry(self):
         """Guards against a field that is read into the wrong place."""
         value = builders.target_value(state="draining", cold_left_ms=40)
-        decoded = decode_entry(builders.item("servers/i-7", value, 9))
+        decoded = decode.decode_entry(builders.item("servers/i-7", value, 9))
         self.assertEqual((decoded.id, decoded.revision), ("i-7", 9))
         self.assertTrue(decoded.listed and decoded.draining)
         self.assertEqual((decoded.started_ms, decoded.cold_ms), (5, 40))
@@ -57,20 +53,24 @@
         ):
             value = builders.target_value(**changes)
             with self.subTest(changes):
-                self.assertFalse(decode_entry(builders.item("servers/a", value)).listed)
+                self.assertFalse(
+                    decode.decode_entry(builders.item("servers/a", value)).listed
+                )
         for value in (b"\xff\xfe", b"{", [], None):
-            self.assertFalse(decode_entry(builders.item("servers/a", value)).listed)
+            self.assertFalse(
+                decode.decode_entry(builders.item("servers/a", value)).listed
+            )
         broken = {"key": "servers/a", "revision": 1, "value": "%%"}
-        self.assertFalse(decode_entry(broken).listed)
+        self.assertFalse(decode.decode_entry(broken).listed)
 
     def test_removal(self):
         """Guards against a removed entry that stays in use."""
         removed = {"key": "servers/a", "revision": 4, "deleted": True}
-        self.assertFalse(decode_entry(removed).listed)
+        self.assertFalse(decode.decode_entry(removed).listed)
 
     def test_configuration(self):
         """Guards against limits and shares that are lost on the way."""
-        decoded = decode_configuration(json.dumps(CONFIGURATION), 3)
+        decoded = decode.decode_configuration(json.dumps(CONFIGURATION), 3)
         route = decoded.routes[0]
         self.assertEqual((route.kind.time_limit, route.kind.deadline), (0.4, 1.2))
         self.assertEqual([b.service.name for b in route.backends], ["x"])
@@ -80,12 +80,12 @@
         """Guards against a text with unknown services that empties the routes."""
         for text in ("", "{", "[]", json.dumps({**CONFIGURATION, "services": []})):
             with self.subTest(text), self.assertRaises(InvalidTextError):
-                decode_configuration(text, 1)
+                decode.decode_configuration(text, 1)
 
     def test_load_report(self):
         """Guards against a malformed report that fails a call."""
         name = "X-Dogwoodshed-Server-Load"
-        self.assertEqual(read_load({name: "3,0,8,250"}).slowness, 2.5)
-        self.assertIsNone(read_load({name: "3,0,8"}).slowness)
+        self.assertEqual(headers.read_load({name: "3,0,8,250"}).slowness, 2.5)
+        self.assertIsNone(headers.read_load({name: "3,0,8"}).slowness)
         for text in ("", "a,b,c", "1,2", "1"):
-            self.assertIsNone(read_load({name: text}))
+            self.assertIsNone(headers.read_load({name: text}))
