Place on free slots before waiting for a full upstream

A call waited for the nearest upstream, whose queue looked short, while others stood idle: upstreams held 2.4 calls of 4 with 40 calls waiting.

--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -16,6 +16,9 @@
 REMOTE_SERVICE_TIMES = 0.35
 # An absent entry means a crash or a departure more often than a lapse.
 ABSENT_SERVICE_TIMES = 1.0
+# A slot that frees may go to a call of another gateway first, so that waiting for one
+# beats only an upstream that is slower by more than this; in service times.
+FULL_SERVICE_TIMES = 1.0
 # A fully used upstream slows its calls down; in shares of the service time.
 CROWDING = 0.25
 # A failed call costs its caller everything; in usual service times.
@@ -143,7 +146,8 @@
     queued = candidate.in_flight - candidate.slots + 1
     if queued <= 0:
         return service
-    return service + queued / candidate.slots * work * slowness
+    wait = FULL_SERVICE_TIMES + queued / candidate.slots
+    return service + wait * work * slowness
 
 
 def place(
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -30,6 +30,15 @@
         full = candidate("i-1", in_flight=2)
         self.assertEqual(self.chosen(full, candidate("i-2", remote=True)), {"i-2"})
 
+    def test_free_slot_elsewhere_is_not_left_idle(self):
+        """Guards against calls that wait for the nearest upstream while others idle.
+
+        Found on a day at the limit: upstreams held 2.4 calls of 4 while calls waited.
+        """
+        full = candidate("i-1", slots=4, in_flight=4)
+        far = candidate("i-2", slots=4, in_flight=3, remote=True, slowness=1.3)
+        self.assertEqual(self.chosen(full, far), {"i-2"})
+
     def test_upstream_that_fails_fast_is_avoided(self):
         """Guards against a failing upstream that looks idle and attracts all calls."""
         failing = candidate("i-1", error_rate=0.4)
