--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -10,6 +10,8 @@
 # What an upstream without news is expected to be, until reports say what is usual.
 USUAL_SLOWNESS = 1.5
 USUAL_WEIGHT = 0.01
+# No machine is taken for faster than this, whatever it reports.
+LEAST_SLOWNESS = 0.2
 # An upstream that has just started takes about twice as long.
 COLD_FACTOR = 1.6
 # A call to another data centre costs transit and its bytes; in usual service times.
@@ -86,6 +88,14 @@
         age = now - self._slowness_at
         return usual + (self._slowness - usual) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
 
+    def speed(self, usual_speed: float, now: float) -> float:
+        """Return the expected work done in a time, 1 being as usual."""
+        if self._slowness is None:
+            return usual_speed
+        age = now - self._slowness_at
+        known = 1 / max(LEAST_SLOWNESS, self._slowness)
+        return usual_speed + (known - usual_speed) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+
     def error_rate(self, now: float) -> float:
         """Return the share of failures, which fades without attempts."""
         age = max(0.0, now - self._error_at)
@@ -95,18 +105,26 @@
 class UsualSlowness:
     """Follow the slowness over all upstreams of a service."""
 
-    __slots__ = ("_mean",)
+    __slots__ = ("_mean", "_speed")
 
     def __init__(self) -> None:
         self._mean = USUAL_SLOWNESS
+        self._speed = 1 / USUAL_SLOWNESS
 
     @property
     def mean(self) -> float:
         return self._mean
 
+    @property
+    def speed(self) -> float:
+        """The mean of the inverse, which tells how much work gets done."""
+        return self._speed
+
     def observe(self, slowness: float) -> None:
         """Learn from one report."""
         self._mean += USUAL_WEIGHT * (slowness - self._mean)
+        speed = 1 / max(LEAST_SLOWNESS, slowness)
+        self._speed += USUAL_WEIGHT * (speed - self._speed)
 
 
 class Candidate(NamedTuple):
--- a/src/dogwoodshed/_internal/routing/shared.py
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -62,8 +62,6 @@
 SHED_BACKOFF_MOST_S = 0.4
 UNREACHABLE_BACKOFF_FIRST_S = 0.2
 UNREACHABLE_BACKOFF_MOST_S = 1.0
-# Slower upstreams give answers that are late for most kinds, and count for nothing.
-MOST_USEFUL_SLOWNESS = 2.5
 # The view of other gateways' calls lags, so that some slots stand idle for a moment.
 CAPACITY_USED = 0.9
 # Counts of a gateway that was not heard for longer are dropped.
@@ -149,6 +147,12 @@
         """Return how many calls an upstream should get at a time."""
         return self.crowding.limit(max(1, state.listed.entry.slots))
 
+    def count_waiting(self, rank: int) -> int:
+        """Count the fleet's waiting calls that are at least as urgent as a rank."""
+        return self.queue.waiting_up_to(rank) + sum(
+            sum(waiting[: rank + 1]) for waiting in self.waiting_elsewhere.values()
+        )
+
     def note_work(self, work: float) -> None:
         """Count a call with its usual service time."""
         if self.mean_work is None:
@@ -410,18 +414,16 @@
             )
 
     def _pressure(self, pool: _Pool, call: Call, now: float) -> Pressure:
-        ahead = pool.queue.waiting_up_to(call.rank) + sum(
-            sum(waiting[: call.rank + 1]) for waiting in pool.waiting_elsewhere.values()
-        )
+        ahead = pool.count_waiting(call.rank)
         work = pool.mean_work or pool.call_work(call)
-        usual = pool.usual.mean
+        usual_speed = pool.usual.speed
         capacity = 0.0
         for state in pool.states.values():
-            slowness = state.pace.slowness(usual, now)
-            if slowness < MOST_USEFUL_SLOWNESS and state.closed_until <= now:
+            if state.closed_until <= now:
                 limit = pool.limit(state)
                 crowded = pool.crowding.time_at(limit, state.listed.entry.slots)
-                capacity += limit / (work * slowness * crowded)
+                speed = state.pace.speed(usual_speed, now)
+                capacity += limit * speed / (work * crowded)
         return Pressure(ahead, CAPACITY_USED * capacity)
 
     def _serve(self, pool: _Pool) -> None:
@@ -566,11 +568,9 @@
                 self._learn(pool, state, outcome, self._clock.monotonic())
 
     def is_pressed(self, call: Call) -> bool:
-        """Tell whether calls of a service wait, here or at another gateway."""
+        """Tell whether calls as urgent as this one wait, here or elsewhere."""
         pool = self._pools.get(call.service.name)
-        return pool is not None and (
-            len(pool.queue) > 0 or any(map(sum, pool.waiting_elsewhere.values()))
-        )
+        return pool is not None and pool.count_waiting(call.rank) > 0
 
     def count_upstreams(self, service: Service) -> int:
         """Return how many upstreams a service has."""
