Hand the reading of the store over as soon as it turns a reader away

A gateway now tells at once that its last call failed. Also: tests of real gateway processes against stand-ins of store and targets.

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -16,7 +16,7 @@
 PRIMARY_READERS = 2
 # A watch that goes silent is noticed after this wait and its margin, within the 2 s
 # in which a draining upstream must be left alone.
-WATCH_WAIT_S = 1.0
+WATCH_WAIT_S = 0.8
 # Changes come in series; one answer then brings several of them for one call.
 COALESCE_S = 0.25
 # Later than the longest age at which a working reader proves that it is up to date.
@@ -44,6 +44,7 @@
         rank: Callable[[], int],
         on_changes: ChangesListener,
         on_failure: Callable[[], None],
+        on_reachable: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
         *,
@@ -54,6 +55,7 @@
         self._rank = rank
         self._on_changes = on_changes
         self._on_failure = on_failure
+        self._on_reachable = on_reachable
         self._clock = clock
         self._metrics = metrics
         self._random = random.Random()
@@ -68,6 +70,11 @@
     def revision(self) -> int:
         return self._revision
 
+    @property
+    def failing(self) -> bool:
+        """Tell whether the last call of this gateway failed."""
+        return not self._reachable
+
     @property
     def age(self) -> float:
         """Return how old the newest proof is that the view is up to date."""
@@ -136,6 +143,7 @@
         if reachable == self._reachable:
             return
         self._reachable = reachable
+        self._on_reachable()
         self._metrics.gauge("directory.reachable", int(reachable))
         if reachable:
             logging.info("directory reachable again at revision %d", self._revision)
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -49,12 +49,18 @@
         # How far this gateway has applied changes, and since when a peer is ahead.
         self._revision = 0
         self._behind_since: float | None = None
+        self._failing = False
         self._loaded = asyncio.Event()
 
     @property
     def ready(self) -> bool:
         return self._store.current is not None and self._loaded.is_set()
 
+    @property
+    def failing(self) -> bool:
+        """Tell whether the directory did not answer this gateway's last call."""
+        return self._follower.failing
+
     @property
     def has_gap(self) -> bool:
         """Tell whether peers know changes that did not reach this gateway."""
@@ -138,7 +144,8 @@
             fields["configuration_revision"] = self._text.revision
             fields["configuration"] = self._text.text
             self._text_changed = False
-        if fields or full:
+        if fields or full or self._failing != self._follower.failing:
+            self._failing = self._follower.failing
             revision, age_ms = self._progress()
             fields["directory_revision"] = revision
             fields["directory_age_ms"] = age_ms
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -78,6 +78,11 @@
         self._view = view
         self._router = router
 
+    @property
+    def directory_failing(self) -> bool:
+        """Tell whether the directory turns this gateway away."""
+        return self._view.failing
+
     def compose(self, *, full: bool) -> dict[str, Any] | None:
         """Return the fields of the next news, or None without any."""
         fields = {**self._view.compose(full=full), **self._router.compose(full=full)}
@@ -145,6 +150,7 @@
             lambda: self._roster.reader_rank,
             self._view.take_changes,
             self._view.note_failure,
+            self._tell_reachable,
             self._clock,
             self._metrics,
             first_read_after=FIRST_READ_AFTER_S,
@@ -184,6 +190,12 @@
             data_centre
         )
 
+    def _tell_reachable(self) -> None:
+        """Tell the others at once whether this gateway can read the directory."""
+        own = self._settings.id
+        self._roster.note_reader(own, failing=self._follower.failing)
+        self._overlay.publish()
+
     def _apply_upstreams(self, listed: list[ListedUpstream]) -> None:
         self._router.apply_upstreams(listed)
         self._pools.keep_only({upstream.entry.address for upstream in listed})
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -288,6 +288,8 @@
     address: str = ""
     data_centre: str = ""
     state: str = ""
+    # Whether the last call to the directory failed; another gateway then reads.
+    directory_failing: bool = False
 
 
 class Bundle(NamedTuple):
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -47,6 +47,10 @@
 class NewsSource(Protocol):
     """Give what this gateway tells the others, and take what they tell."""
 
+    @property
+    def directory_failing(self) -> bool:
+        """Tell whether the directory turns this gateway away."""
+
     def compose(self, *, full: bool) -> dict[str, Any] | None:
         """Return the fields of the next news, or None without any."""
 
@@ -315,6 +319,7 @@
             )
         leaving = news.state == STATE_LEAVING
         self._roster.note_heard(news.origin, news.incarnation, leaving=leaving)
+        self._roster.note_reader(news.origin, failing=news.directory_failing)
         self._source.take_news(news)
         from_remote = self._is_remote(peer_id)
         for other, pending in self._pending.items():
@@ -385,6 +390,7 @@
             fields["state"] = STATE_LEAVING if self._leaving else STATE_READY
         if fields is None:
             return None
+        fields["directory_failing"] = self._source.directory_failing
         self._sequence += 1
         return News(
             self._hello.peer_id, self._hello.incarnation, self._sequence, **fields
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -30,6 +30,7 @@
         self._heard_at: dict[str, float] = {}
         self._leaving: dict[str, int] = {}
         self._suspect_until: dict[str, float] = {}
+        self._failing_readers: set[str] = set()
         self._live: tuple[Member, ...] = (own,)
         self._listeners: list[Callable[[], None]] = []
 
@@ -59,12 +60,10 @@
     def reader_rank(self) -> int:
         """The position of this gateway among those that may read the directory."""
         relays = self._relays()
-        if self._own in relays:
-            return relays.index(self._own)
-        others = [member for member in self._live if member not in relays]
-        if self._own not in others:
-            return len(self._live)
-        return len(relays) + others.index(self._own)
+        readers = [*relays, *(m for m in self._live if m not in relays)]
+        # Those that the directory turns away come last, in the same order.
+        readers.sort(key=lambda member: member.id in self._failing_readers)
+        return readers.index(self._own) if self._own in readers else len(readers)
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener when the live gateways change."""
@@ -117,6 +116,13 @@
         if not was_live or leaving or member not in self._live:
             self.refresh()
 
+    def note_reader(self, member_id: str, *, failing: bool) -> None:
+        """Note whether the directory answers a gateway."""
+        if failing:
+            self._failing_readers.add(member_id)
+        else:
+            self._failing_readers.discard(member_id)
+
     def note_leaving(self) -> None:
         """Leave the work of a relay to others."""
         self._leaving[self._own.id] = self._own.incarnation
--- a/src/dogwoodshed/_internal/probing/prober.py
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -21,7 +21,7 @@
 FEATURE = "probing"
 FEATURE_SHARE = "probe_share"
 
-TICK_S = 0.05
+TICK_S = 0.025
 PROBE_TIMEOUT_S = 1.0
 # While the owner of an upstream changes, two gateways may probe it for a moment.
 BUDGET_USED = 0.5
--- /dev/null
+++ b/tests/lib/deployment.py
@@ -0,0 +1,245 @@
+"""Run real gateway processes against stand-ins of the users' platform."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import aiohttp
+
+from tests.lib.store_standin import StoreStandIn
+from tests.lib.target_standin import TargetStandIn
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = "shop.example"
+START_BOUND_S = 20.0
+
+
+class Reply(NamedTuple):
+    """What a caller got."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str]
+
+
+def free_port() -> int:
+    """Return a port of loopback that nothing listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def route(name: str, prefix: str, **changes: Any) -> dict[str, Any]:
+    """Build a route of the operator's configuration."""
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "route_type": "safe",
+        "timeout_ms": 1000,
+        "slo_ms": 300,
+        "priority": 1,
+        "service": "profiles",
+        "max_attempts": 2,
+        **changes,
+    }
+
+
+ROUTES = (route("read", "/read/"), route("write", "/write/", route_type="unsafe"))
+
+
+class GatewayProcess:
+    """One real gateway process and its addresses."""
+
+    def __init__(self, name: str, folder: str, zone: str) -> None:
+        self.name = name
+        self.zone = zone
+        self.port, self.ready_port, self.control_port = (free_port() for _ in range(3))
+        self._settings = Path(folder) / f"{name}.jsonc"
+        self._log = Path(folder) / f"{name}.log"
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def control(self) -> str:
+        return f"127.0.0.1:{self.control_port}"
+
+    @property
+    def log(self) -> str:
+        return self._log.read_text(errors="replace")
+
+    def configure(self, store: str, seeds: list[str], **limits: Any) -> None:
+        """Write the settings file."""
+        settings = {
+            "id": self.name,
+            "host": self.name,
+            "data_centre": self.zone,
+            "listen": f"127.0.0.1:{self.port}",
+            "routing": "shared",
+            "mesh": {"listen": self.control, "seeds": seeds},
+            "platform": {"address": store},
+            "endpoints": {"readiness": f"127.0.0.1:{self.ready_port}"},
+            "retries": {"ratio": 0.2, "reserve": 20},
+            "limits": {
+                "connect_timeout_s": 0.25,
+                "stop_linger_s": 0.5,
+                "idle_timeout_s": 9.0,
+                "finish_abandoned": False,
+                "hold_unsized": True,
+                **limits,
+            },
+            "stop_timeout_s": 2.6,
+        }
+        self._settings.write_text(json.dumps(settings))
+
+    async def start(self) -> None:
+        """Start the process without waiting for it."""
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(ROOT / "platform"),
+                env={"DOGWOODSHED_CONFIG": str(self._settings), "PATH": os.defpath},
+                stdout=log,
+                stderr=log,
+            )
+
+    async def wait_ready(self) -> None:
+        """Wait until the gateway says that it is ready."""
+        async with asyncio.timeout(START_BOUND_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.02)
+
+    async def is_ready(self) -> bool:
+        """Ask as the platform's balancer does."""
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.get(f"http://127.0.0.1:{self.ready_port}/ready") as response,
+            ):
+                return response.status == 200
+        except (aiohttp.ClientError, OSError):
+            return False
+
+    def send_signal(self, number: signal.Signals) -> None:
+        """Signal the process if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def stop(self, number: signal.Signals = signal.SIGKILL) -> int:
+        """End the process and return its exit code."""
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(number)
+        async with asyncio.timeout(START_BOUND_S):
+            return await self.process.wait()
+
+
+class Deployment:
+    """A store, targets and gateways on loopback."""
+
+    def __init__(self, gateways: int = 1, zones: int = 1) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.store = StoreStandIn()
+        self.targets: dict[str, TargetStandIn] = {}
+        self.gateways = [
+            GatewayProcess(f"g{i}", self._folder.name, f"lima-{i % zones}")
+            for i in range(gateways)
+        ]
+        self._version = 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def start(self, targets: int = 2, routes: tuple = ROUTES) -> None:
+        """Start everything and wait until all gateways are ready."""
+        self.open_session()
+        await self.store.start()
+        for index in range(targets):
+            await self.add_target(f"i-{index}")
+        await self.configure(*routes)
+        seeds = [gateway.control for gateway in self.gateways[:3]]
+        for gateway in self.gateways:
+            gateway.configure(self.store.address, seeds)
+            await gateway.start()
+        await asyncio.gather(*(gateway.wait_ready() for gateway in self.gateways))
+
+    def open_session(self) -> None:
+        """Open the callers' connections."""
+        self._session = aiohttp.ClientSession()
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for gateway in self.gateways:
+            if gateway.process is not None:
+                await gateway.stop()
+        for target in self.targets.values():
+            await target.stop()
+        await self._session.close()
+        await self.store.stop()
+        self._folder.cleanup()
+
+    async def add_target(
+        self, target_id: str, service: str = "profiles"
+    ) -> TargetStandIn:
+        """Start a target and publish it."""
+        target = TargetStandIn(target_id, service)
+        await target.start()
+        self.targets[target_id] = target
+        await self.store.put(f"servers/{target_id}", target.entry())
+        return target
+
+    async def configure(self, *routes: dict[str, Any]) -> None:
+        """Publish a configuration with these routes."""
+        self._version += 3
+        names = sorted({entry["service"] for entry in routes})
+        services = [
+            {
+                "name": name,
+                "health_path": "/healthz",
+                "max_connections": 100,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in names
+        ]
+        value = {
+            "version": f"{self._version:08x}",
+            "routes": list(routes),
+            "services": services,
+            "limits": {},
+        }
+        await self.store.put("op/config", value)
+
+    async def call(
+        self,
+        path: str = "/read/a",
+        *,
+        method: str = "GET",
+        request_id: str = "r",
+        gateway: int = 0,
+        body: bytes = b"",
+        time_ms: int = 1000,
+    ) -> Reply:
+        """Send one request on a new or kept connection."""
+        port = self.gateways[gateway].port
+        headers = {
+            "Host": HOST,
+            "X-Dogwoodshed-Request-Id": request_id,
+            "X-Dogwoodshed-Deadline-Ms": str(time_ms),
+        }
+        async with self._session.request(
+            method,
+            f"http://127.0.0.1:{port}{path}",
+            headers=headers,
+            data=body or None,
+            timeout=aiohttp.ClientTimeout(total=5),
+        ) as response:
+            return Reply(response.status, await response.read(), dict(response.headers))
+
+    def count_runs(self, request_id: str) -> int:
+        """Return how often the targets ran a request."""
+        return sum(
+            len(target.runs.get(request_id, ())) for target in self.targets.values()
+        )
--- /dev/null
+++ b/tests/lib/target_standin.py
@@ -0,0 +1,145 @@
+"""Stand in for a target, and record what it ran."""
+
+import asyncio
+import time
+from typing import Any
+
+from tests.lib.raw import read_body
+
+PROOF = "X-Dogwoodshed-Response-Seal: p"
+
+
+class TargetStandIn:
+    """Answer requests after some work, with faults that a test switches on."""
+
+    def __init__(
+        self, target_id: str, service: str, zone: str = "lima-a", slots: int = 4
+    ) -> None:
+        self.id = target_id
+        self.service = service
+        self.zone = zone
+        self.slots = slots
+        self.work_s = 0.02
+        # Runs by request id, with the time of each.
+        self.runs: dict[str, list[float]] = {}
+        self.cancelled: list[str] = []
+        self.headers: list[dict[str, str]] = []
+        self.running = 0
+        self.refuse = False
+        # The next answers that are lost, doubled, or lack the proof.
+        self.lose = 0
+        self.double = 0
+        self.unproven = 0
+        self.started_ms = int(time.time() * 1000)
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """Build what the target publishes of itself."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": self.started_ms,
+            **changes,
+        }
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Close the listener and reset all connections."""
+        self._server.close()
+        self.reset_connections()
+
+    def reset_connections(self) -> None:
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.add(writer)
+        try:
+            while not writer.is_closing():
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await read_body(head, reader)
+                await self._serve(head.decode("latin-1"), body, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            writer.close()
+
+    async def _serve(self, head: str, body: bytes, reader, writer) -> None:
+        lines = head.split("\r\n")
+        headers = {
+            name.lower(): value
+            for name, value in (line.split(": ", 1) for line in lines[1:] if line)
+        }
+        if lines[0].startswith("GET /healthz "):
+            self._answer(writer, 200, [f"X-Dogwoodshed-Instance-Id: {self.id}"])
+            return
+        self.headers.append(headers)
+        request_id = headers.get("x-dogwoodshed-request-id", "")
+        if headers.get("x-dogwoodshed-expect-instance", self.id) != self.id:
+            self._answer(writer, 421, [f"X-Dogwoodshed-Instance-Id: {self.id}"])
+            return
+        if self.refuse or self.running >= self.slots + 4:
+            self._answer(writer, 503, ["X-Dogwoodshed-Not-Executed: 1"])
+            return
+        self.runs.setdefault(request_id, []).append(time.monotonic())
+        if not await self._work(request_id, reader):
+            return
+        echo = [f"X-Dogwoodshed-Request-Id: {request_id}"]
+        if self.lose > 0:
+            self.lose -= 1
+            writer.transport.abort()
+            return
+        if self.unproven > 0:
+            self.unproven -= 1
+            self._answer(writer, 200, echo, b"forged")
+            return
+        answer = f"{self.id} {request_id} ".encode() + body
+        self._answer(writer, 200, [*echo, PROOF], answer)
+        if self.double > 0:
+            self.double -= 1
+            await asyncio.sleep(0.01)
+            self._answer(writer, 200, [*echo, PROOF], answer)
+
+    async def _work(self, request_id: str, reader: asyncio.StreamReader) -> bool:
+        """Run a request; stop when its connection closes."""
+        self.running += 1
+        try:
+            ends = time.monotonic() + self.work_s
+            while time.monotonic() < ends:
+                await asyncio.sleep(min(0.005, self.work_s))
+                if reader.at_eof() or reader.exception() is not None:
+                    self.cancelled.append(request_id)
+                    return False
+            return True
+        finally:
+            self.running -= 1
+
+    def _answer(
+        self, writer, status: int, headers: list[str], body: bytes = b""
+    ) -> None:
+        load = f"{self.running},0,{self.slots},100"
+        lines = [
+            f"HTTP/1.1 {status} X",
+            *headers,
+            f"X-Dogwoodshed-Server-Load: {load}",
+            f"Content-Length: {len(body)}",
+        ]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -53,6 +53,21 @@
         self.hear(member("e", "lima-a", 1))
         self.assertEqual(self.roster.reader_rank, 2)
 
+    def test_reader_that_is_turned_away_is_replaced_at_once(self):
+        """Guards against old news while the store turns both readers away.
+
+        Found on pareja-gw trouble-1: a configuration took 2.4 s to those in touch.
+        """
+        self.hear(member("c", "lima-b", 2), member("d", "lima-c", 3))
+        self.hear(member("e", "lima-a", 1))
+        self.assertGreater(self.roster.reader_rank, 1)
+        self.roster.note_reader("e", failing=True)
+        self.roster.note_reader("c", failing=True)
+        self.assertLess(self.roster.reader_rank, 2)
+        self.roster.note_reader("e", failing=False)
+        self.roster.note_reader("c", failing=False)
+        self.assertGreater(self.roster.reader_rank, 1)
+
     def test_unreachable_relay_is_passed_over_for_a_while(self):
         """Guards against a host cut off from its relay that waits for its death."""
         self.hear(member("c", "lima-a", 2), member("d", "lima-a", 3))
