--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,35 @@
+"""Run the soak: `python -m tests.soak [--seed N] [--seeds N] [--seconds S]`."""
+
+import argparse
+import asyncio
+import random
+import sys
+
+from tests.soak.run import play
+
+
+def main() -> int:
+    """Play seeds one after the other and print their violations."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak")
+    parser.add_argument("--seed", type=int, help="play this seed only")
+    parser.add_argument("--seeds", type=int, default=10, help="fresh seeds to play")
+    parser.add_argument("--seconds", type=float, default=8.0, help="faults for so long")
+    options = parser.parse_args()
+    seeds = [options.seed]
+    if options.seed is None:
+        seeds = [random.randrange(10**6) for _ in range(options.seeds)]
+    failed = 0
+    for seed in seeds:
+        soak = asyncio.run(play(seed, options.seconds))
+        print(f"seed {seed}: {soak.summary}", flush=True)
+        for violation in soak.violations:
+            print(f"  {violation}", flush=True)
+        if soak.violations:
+            failed += 1
+            print(f"  faults: {', '.join(soak.faults)}", flush=True)
+    print(f"{len(seeds) - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/unit/test_fleet_retries.py
@@ -0,0 +1,86 @@
+"""Test the fleet's budget for arrivals beyond the first."""
+
+import unittest
+
+from dogwoodshed._internal.retries.fleet import (
+    FleetBudget,
+    FleetHedgePolicy,
+    FleetRetryPolicy,
+)
+from dogwoodshed._internal.settings import RetrySettings
+from tests.lib import fleet_builders as builders
+
+RATIO, RESERVE = 0.2, 64
+
+
+class FleetRetriesTest(unittest.TestCase):
+    def setUp(self):
+        self.clock = builders.ManualClock()
+        self.budget = FleetBudget(RetrySettings(ratio=RATIO, reserve=RESERVE))
+        self.retries = FleetRetryPolicy(self.budget, lambda _: 0.1)
+        self.pressed = False
+        self.hedges = FleetHedgePolicy(
+            self.budget, lambda _: 0.1, lambda _: self.pressed
+        )
+
+    def call(self, **changes):
+        return builders.call(self.clock, **changes)
+
+    def test_a_fleet_stays_within_the_users_budget(self):
+        """Guards against gateways that each spend the budget of all."""
+        fleet = 19
+        spent = 0
+        for _ in range(fleet):
+            budget = FleetBudget(RetrySettings(ratio=RATIO, reserve=RESERVE))
+            budget.set_fleet_size(fleet)
+            policy = FleetRetryPolicy(budget, lambda _: 0.1)
+            for _ in range(50):
+                call = self.call()
+                policy.note_call(call)
+                spent += policy.take_repeat(call, 0, self.clock.now)
+                spent += policy.take_move(call, 0, self.clock.now)
+        self.assertGreater(spent, 0)
+        self.assertLessEqual(spent, RATIO * fleet * 50 + RESERVE)
+
+    def test_attempts_of_one_call_are_bounded(self):
+        """Guards against a call that reaches more targets than its route allows."""
+        call = self.call()
+        call.attempts = call.kind.max_attempts
+        now = self.clock.now
+        self.assertFalse(self.retries.take_move(call, 0, now))
+        self.assertFalse(self.retries.take_repeat(call, 0, now))
+        self.assertFalse(self.hedges.take(call))
+        self.assertIsNone(self.hedges.delay(call))
+
+    def test_what_never_arrived_is_free(self):
+        """Guards against a budget spent on connections that were refused."""
+        call = self.call()
+        now = self.clock.now
+        self.assertTrue(
+            all(self.retries.take_move(call, n, now, arrived=False) for n in range(200))
+        )
+
+    def test_non_idempotent_call_is_neither_repeated_nor_hedged(self):
+        """Guards against a charge that runs twice."""
+        call = self.call()
+        call.kind = builders.kind(idempotent=False)
+        self.assertFalse(self.retries.take_repeat(call, 0, self.clock.now))
+        self.assertIsNone(self.hedges.delay(call))
+
+    def test_no_repeat_without_time(self):
+        """Guards against work that nobody waits for."""
+        call = self.call(deadline=self.clock.now + 0.05)
+        self.assertFalse(self.retries.take_repeat(call, 0, self.clock.now))
+
+    def test_no_hedge_while_others_wait(self):
+        """Guards against hedges that make a service at its limit worse."""
+        self.pressed = True
+        self.assertFalse(self.hedges.take(self.call()))
+
+    def test_hedge_comes_early_enough_for_the_aim(self):
+        """Guards against hedges whose answers are late."""
+        call = self.call()
+        call.kind = builders.kind(time_limit=0.25)
+        self.assertLessEqual(self.hedges.delay(call), 0.125)
+        call.kind = builders.kind(time_limit=2.0)
+        self.assertAlmostEqual(self.hedges.delay(call), 0.145)
