--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: install demo test lint unit scenarios bench bench-capacity
+.PHONY: install demo test lint unit scenarios soak soak-short bench bench-capacity
 
 install: $(STAMP)
 
@@ -25,7 +25,15 @@
 scenarios: install
 	PYTHONPATH=. $(BIN)/behave --no-color --format progress tests/features
 
-test: lint unit scenarios
+# Fresh seeds for some minutes; the short run plays fixed seeds.
+soak: install
+	$(BIN)/python -m tests.soak --seeds 15
+
+soak-short: install
+	$(BIN)/python -m tests.soak --seed 409390
+	$(BIN)/python -m tests.soak --seed 943975
+
+test: lint unit scenarios soak-short
 
 bench: install
 	$(BIN)/python -m bench.policies
--- a/src/dogwoodshed/_internal/commands/check.py
+++ b/src/dogwoodshed/_internal/commands/check.py
@@ -2,11 +2,11 @@
 
 import argparse
 import sys
-from pathlib import Path
 
 from dogwoodshed._internal import registry
 from dogwoodshed._internal.cli import status_codes
 from dogwoodshed._internal.commands.base import Command
+from dogwoodshed._internal.configuration.document import read_document_text
 from dogwoodshed._internal.configuration.schema import load_configuration
 from dogwoodshed._internal.exceptions import DocumentSyntaxError, InvalidTextError
 
@@ -28,8 +28,8 @@
 
     def run(self, options: argparse.Namespace) -> int:
         """Check the file and return its exit code."""
-        text = Path(options.file).read_text(encoding="utf-8")
         try:
+            text = read_document_text(options.file)
             configuration = load_configuration(text, 0, options.file)
         except DocumentSyntaxError as error:
             print(error, file=sys.stderr)
--- a/src/dogwoodshed/_internal/configuration/document.py
+++ b/src/dogwoodshed/_internal/configuration/document.py
@@ -36,6 +36,17 @@
     offset: int
 
 
+def read_document_text(path: str) -> str:
+    """Read a file as UTF-8; raises DocumentSyntaxError or OSError."""
+    with open(path, "rb") as file:
+        data = file.read()
+    try:
+        return data.decode()
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        raise DocumentSyntaxError(path, line, "not UTF-8") from error
+
+
 def parse_document(text: str, source: str) -> Document:
     """Parse JSON with comments; raises DocumentSyntaxError."""
     has_repeats = False
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -20,6 +20,8 @@
     fleet: str = ""
     # Where the gateway listens for peers, in fleets whose members find each other.
     address: str = ""
+    # How well its host can relay, from 0 to 1.
+    relay_weight: float = 1.0
 
 
 class ServiceLoad(NamedTuple):
@@ -220,8 +222,10 @@
     id: str
     address: str
     data_centre: str
-    # Microseconds of the start; the oldest gateway of a data centre relays its news.
+    # Microseconds of the start.
     incarnation: int
+    # The oldest of the gateways with the highest weight relays for its data centre.
+    relay_weight: float = 1.0
 
 
 class Roster(NamedTuple):
@@ -288,6 +292,7 @@
     address: str = ""
     data_centre: str = ""
     state: str = ""
+    relay_weight: float = 1.0
     # Whether the last call to the directory failed; another gateway then reads.
     directory_failing: bool = False
 
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -78,7 +78,11 @@
         self._seeds = settings.mesh.seeds
         incarnation = time.time_ns() // 1000
         own = Member(
-            settings.id, settings.mesh.listen, settings.data_centre, incarnation
+            settings.id,
+            settings.mesh.listen,
+            settings.data_centre,
+            incarnation,
+            settings.capacity.relay_weight,
         )
         self._hello = Hello(
             PROTOCOL_VERSION,
@@ -86,6 +90,7 @@
             incarnation,
             own.data_centre,
             address=own.address,
+            relay_weight=own.relay_weight,
         )
         self._roster = FleetRoster(own, clock)
         self._source: NewsSource | None = None
@@ -280,7 +285,13 @@
         self._pending[hello.peer_id] = []
         self._sent_at[hello.peer_id] = float("-inf")
         self._roster.note_member(
-            Member(hello.peer_id, hello.address, hello.data_centre, hello.incarnation)
+            Member(
+                hello.peer_id,
+                hello.address,
+                hello.data_centre,
+                hello.incarnation,
+                hello.relay_weight,
+            )
         )
         self._roster.note_heard(hello.peer_id, hello.incarnation, leaving=False)
         connection.send(Roster(self._roster.live))
@@ -315,7 +326,13 @@
         self._seen[news.origin] = news.incarnation, news.sequence
         if news.address:
             self._roster.note_member(
-                Member(news.origin, news.address, news.data_centre, news.incarnation)
+                Member(
+                    news.origin,
+                    news.address,
+                    news.data_centre,
+                    news.incarnation,
+                    news.relay_weight,
+                )
             )
         leaving = news.state == STATE_LEAVING
         self._roster.note_heard(news.origin, news.incarnation, leaving=leaving)
@@ -387,6 +404,7 @@
             fields = fields or {}
             fields["address"] = self._hello.address
             fields["data_centre"] = self._hello.data_centre
+            fields["relay_weight"] = self._hello.relay_weight
             fields["state"] = STATE_LEAVING if self._leaving else STATE_READY
         if fields is None:
             return None
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -19,8 +19,9 @@
 class FleetRoster:
     """Know the members and which of them relay news between data centres.
 
-    The relay of a data centre is its oldest live gateway. It holds a connection to the
-    relays of the other data centres, and every other gateway one to its relay.
+    The relay of a data centre is its oldest live gateway on a host that can bear it.
+    It holds a connection to the relays of the other data centres, and every other
+    gateway one to its relay.
     """
 
     def __init__(self, own: Member, clock: Clock) -> None:
@@ -40,7 +41,7 @@
 
     @property
     def live(self) -> tuple[Member, ...]:
-        """The live gateways, oldest first, this one included."""
+        """The live gateways in the order in which they relay, this one included."""
         return self._live
 
     @property
@@ -144,7 +145,7 @@
                 or now - self._heard_at.get(member.id, float("-inf")) < DEAD_AFTER_S
             )
         ]
-        live.sort(key=lambda member: (member.incarnation, member.id))
+        live.sort(key=_relay_order)
         found = tuple(live)
         if found == self._live:
             return
@@ -167,4 +168,8 @@
     def _relays(self) -> list[Member]:
         centres = sorted({member.data_centre for member in self._live})
         relays = [relay for c in centres if (relay := self.relay(c)) is not None]
-        return sorted(relays, key=lambda member: (member.incarnation, member.id))
+        return sorted(relays, key=_relay_order)
+
+
+def _relay_order(member: Member) -> tuple[float, int, str]:
+    return -member.relay_weight, member.incarnation, member.id
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -1,16 +1,24 @@
 """Read the settings file of a daemon."""
 
-from pathlib import Path
 from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from dogwoodshed._internal.configuration.document import key_lines, parse_document
+from dogwoodshed._internal.configuration.document import (
+    key_lines,
+    parse_document,
+    read_document_text,
+)
 from dogwoodshed._internal.exceptions import InvalidTextError
 
 _Address = Annotated[str, Field(pattern=r"^[^\s]+:\d+$")]
 
 
+# Hosts with this much relay equally well.
+FULL_RELAY_CORES = 0.8
+FULL_RELAY_MBPS = 50.0
+
+
 class _Model(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
 
@@ -65,6 +73,23 @@
     store_bytes: Annotated[int, Field(ge=4096)] = 8 * 1024 * 1024
 
 
+class CapacitySettings(_Model):
+    """What the host gives to the gateway."""
+
+    cores: Annotated[float, Field(gt=0)] = 1.0
+    link_mbps: Annotated[float, Field(gt=0)] = 1000.0
+
+    @property
+    def relay_weight(self) -> float:
+        """Tell how well the host can relay, in steps of a tenth.
+
+        A relay sends the news of its data centre to every gateway there: a link of
+        5 Mbit/s is full at 25 of them.
+        """
+        weight = min(1.0, self.cores / FULL_RELAY_CORES)
+        return round(weight * min(1.0, self.link_mbps / FULL_RELAY_MBPS), 1)
+
+
 class EndpointSettings(_Model):
     """Where readiness and metrics are served; None leaves them out."""
 
@@ -113,6 +138,7 @@
     reporting: ReportingSettings = ReportingSettings()
     limits: LimitSettings = LimitSettings()
     endpoints: EndpointSettings = EndpointSettings()
+    capacity: CapacitySettings = CapacitySettings()
     retries: RetrySettings = RetrySettings()
     statsd: _Address | None = None
     stop_timeout_s: Annotated[float, Field(gt=0)] | None = None
@@ -123,7 +149,7 @@
     @classmethod
     def from_file(cls, path: str) -> "Settings":
         """Read settings; raises DocumentSyntaxError or InvalidTextError."""
-        text = Path(path).read_text(encoding="utf-8")
+        text = read_document_text(path)
         document = parse_document(text, path)
         try:
             return cls.model_validate(document.value)
--- a/tests/functional/test_check.py
+++ b/tests/functional/test_check.py
@@ -174,6 +174,16 @@
                     self.assertEqual(len(result.stderr.splitlines()), 1, result.stderr)
                     self.assertTrue(result.stderr.startswith(start), result.stderr)
 
+    def test_names_the_line_that_is_not_utf8(self):
+        """Guards against a traceback for a file in another encoding."""
+        with tempfile.NamedTemporaryFile(suffix=".jsonc") as file:
+            file.write(b"{\n  // caf\xe9\n}")
+            file.flush()
+            command = [sys.executable, "-m", "dogwoodshed", "check", file.name]
+            result = subprocess.run(command, capture_output=True, text=True, timeout=60)
+        self.assertEqual(result.returncode, 2)
+        self.assertIn(f"{file.name}:2: syntax: not UTF-8", result.stderr)
+
     def test_accepts_valid_texts(self):
         """Guards against examples that the command refuses."""
         with tempfile.TemporaryDirectory() as directory:
--- a/tests/unit/test_late_answers.py
+++ b/tests/unit/test_late_answers.py
@@ -11,7 +11,6 @@
 from dogwoodshed._internal.proxy.headers import HeaderNames
 from dogwoodshed._internal.settings import LimitSettings
 
-
 RESET = struct.pack("ii", 1, 0)
 
 
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -24,6 +24,11 @@
         self.hear(old, young)
         self.assertEqual(self.roster.wanted_peers(), (old,))
 
+    def test_small_host_does_not_relay(self):
+        """Guards against a relay whose link is full with the news of its peers."""
+        self.hear(member("c", "lima-a", 1)._replace(relay_weight=0.1))
+        self.assertTrue(self.roster.is_relay)
+
     def test_silent_relay_is_replaced(self):
         """Guards against a data centre without news after its relay died."""
         self.hear(member("c", "lima-a", 2))
