--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -26,9 +26,9 @@
 from dogwoodshed._internal.settings import Settings, split_address
 
 # News leave at once after a quiet time and are gathered for this long otherwise; a
-# larger fleet gathers longer, since a relay sends each bundle to all its peers.
+# larger fleet gathers longer, since every gateway decodes the news of all others.
 GATHER_LEAST_S = 0.025
-GATHER_PER_PEER_S = 0.0012
+GATHER_PER_GATEWAY_S = 0.001
 # Bytes between data centres have a price, and each bundle has headers of its own.
 REMOTE_GATHER_S = 0.06
 FULL_NEWS_S = 0.5
@@ -364,7 +364,7 @@
     def _schedule_flush(self) -> None:
         if self._flush_timer is not None:
             return
-        gather = max(GATHER_LEAST_S, GATHER_PER_PEER_S * len(self._connections))
+        gather = max(GATHER_LEAST_S, GATHER_PER_GATEWAY_S * len(self._roster.live))
         delay = self._flushed_at + gather - self._clock.monotonic()
         loop = asyncio.get_running_loop()
         self._flush_timer = loop.call_later(max(0.0, delay), self._flush)
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -12,12 +13,15 @@
 
 import aiohttp
 
+from dogwoodshed._internal.exceptions import StandInError
 from tests.lib.store_standin import StoreStandIn
 from tests.lib.target_standin import TargetStandIn
 
+LOG_TAIL = 1500
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
 START_BOUND_S = 20.0
+PORT_RANGE = (12_000, 32_000)
 
 
 class Reply(NamedTuple):
@@ -29,10 +33,19 @@
 
 
 def free_port() -> int:
-    """Return a port of loopback that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a port of loopback that nothing listens on.
+
+    Below the range that the system gives to clients, which might take it before the
+    process that it is meant for listens.
+    """
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def route(name: str, prefix: str, **changes: Any) -> dict[str, Any]:
@@ -110,9 +123,16 @@
 
     async def wait_ready(self) -> None:
         """Wait until the gateway says that it is ready."""
-        async with asyncio.timeout(START_BOUND_S):
-            while not await self.is_ready():
-                await asyncio.sleep(0.02)
+        try:
+            async with asyncio.timeout(START_BOUND_S):
+                while not await self.is_ready():
+                    await asyncio.sleep(0.02)
+        except TimeoutError:
+            code = self.process.returncode
+            tail = self.log[-LOG_TAIL:]
+            raise StandInError(
+                f"{self.name} not ready, exit code {code}: {tail}"
+            ) from None
 
     async def is_ready(self) -> bool:
         """Ask as the platform's balancer does."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -20,8 +20,9 @@
         seeds = [random.randrange(10**6) for _ in range(options.seeds)]
     failed = 0
     for seed in seeds:
+        print(f"seed {seed}: ", end="", flush=True)
         soak = asyncio.run(play(seed, options.seconds))
-        print(f"seed {seed}: {soak.summary}", flush=True)
+        print(soak.summary, flush=True)
         for violation in soak.violations:
             print(f"  {violation}", flush=True)
         if soak.violations:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from dogwoodshed._internal.exceptions import StandInError
 from tests.lib.deployment import ROUTES, Deployment, route
 from tests.soak.proxy import LoopbackProxy
 
@@ -218,11 +219,8 @@
         for gateway in self._fleet.gateways:
             try:
                 await gateway.wait_ready()
-            except TimeoutError:
-                code = gateway.process.returncode
-                self.violations.append(
-                    f"{gateway.name}: not ready, exit code {code}: {gateway.log[-800:]}"
-                )
+            except StandInError as error:
+                self.violations.append(str(error))
                 return
         await asyncio.sleep(CONTACT_S)
         await self._fleet.configure(*ROUTES, route("last", "/last/"))
