--- a/src/dogwoodshed/_internal/routing/shared.py
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -6,8 +6,6 @@
 from typing import Any, NamedTuple
 
 from dogwoodshed._internal.admission.on_time import (
-    OnTimeQueue,
-    Pressure,
     should_refuse,
 )
 from dogwoodshed._internal.admission.queue import Waiter
@@ -15,7 +13,6 @@
 from dogwoodshed._internal.configuration.model import (
     Configuration,
     Service,
-    Upstream,
 )
 from dogwoodshed._internal.directory.table import ListedUpstream
 from dogwoodshed._internal.exceptions import (
@@ -33,7 +30,6 @@
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.base import (
-    LoadReport,
     Outcome,
     OutcomeStatus,
     ProbeDuty,
@@ -42,133 +38,21 @@
     Slot,
     UpstreamStatus,
 )
-from dogwoodshed._internal.routing.crowding import CrowdingEstimate
 from dogwoodshed._internal.routing.placement import (
-    CLEAN_SLOWNESS,
     FIRST_WORK_SHARE,
-    Candidate,
-    Pace,
     Placement,
-    UsualSlowness,
-    WorkEstimate,
     place,
 )
+from dogwoodshed._internal.routing.shared_pool import (
+    PlacedSlot,
+    ServicePool,
+    UpstreamState,
+)
 
 # Queued calls look again this often, since upstreams free slots for other gateways too.
 LOOK_AGAIN_S = 0.01
-# A slot that another gateway freed is seen by all; each takes it with the probability
-# of its share of the waiting calls, but looks again soon.
-SHED_BACKOFF_FIRST_S = 0.05
-SHED_BACKOFF_MOST_S = 0.4
-UNREACHABLE_BACKOFF_FIRST_S = 0.2
-UNREACHABLE_BACKOFF_MOST_S = 1.0
-# The view of other gateways' calls lags, so that some slots stand idle for a moment.
-CAPACITY_USED = 0.9
 # Counts of a gateway that was not heard for longer are dropped.
 FORGET_ORIGIN_S = 1.7
-# The mean service time follows the mix of kinds within about a hundred calls.
-MIX_WEIGHT = 0.02
-
-
-class PlacedSlot(Slot):
-    """Permission to send one call to one upstream of the shared view."""
-
-    __slots__ = ("_reason", "kind", "level", "state")
-
-    def __init__(
-        self, service: Service, state: "_State", call: Call, placement: Placement
-    ) -> None:
-        super().__init__(service, state.upstream)
-        self.state = state
-        self.kind = call.kind
-        # Calls in flight there, this one included.
-        self.level = placement.in_flight + 1
-        self._reason = (
-            f"x{placement.slowness:.2f} {placement.in_flight}busy"
-            f" {placement.age * 1000:.0f}ms-old"
-        )
-
-    def reason(self) -> str:
-        """Tell the slowness, the load and the age of the report that decided."""
-        return self._reason
-
-
-class _State:
-    """What this gateway knows of one upstream."""
-
-    __slots__ = (
-        "closed_until",
-        "listed",
-        "others",
-        "own",
-        "pace",
-        "refusals",
-        "unreachable",
-        "upstream",
-    )
-
-    def __init__(self, listed: ListedUpstream) -> None:
-        self.listed = listed
-        self.upstream = _upstream_of(listed)
-        self.pace = Pace()
-        self.own = 0
-        self.others: dict[str, int] = {}
-        self.closed_until = 0.0
-        self.refusals = 0
-        self.unreachable = 0
-
-    @property
-    def in_flight(self) -> int:
-        return self.own + sum(self.others.values())
-
-
-def _upstream_of(listed: ListedUpstream) -> Upstream:
-    entry = listed.entry
-    return Upstream(entry.address, entry.data_centre, entry.id)
-
-
-class _Pool:
-    """Upstreams and queue of one service."""
-
-    def __init__(self, service: Service, ranks: int, length: int) -> None:
-        self.service = service
-        self.states: dict[str, _State] = {}
-        self.queue = OnTimeQueue(ranks, length)
-        self.crowding = CrowdingEstimate()
-        # Over all kinds, by how often they come.
-        self.mean_work: float | None = None
-        self.usual = UsualSlowness()
-        self.work: dict[str, WorkEstimate] = {}
-        # Waiting calls of other gateways, by origin.
-        self.waiting_elsewhere: dict[str, tuple[int, ...]] = {}
-        self.timer: asyncio.TimerHandle | None = None
-
-    def limit(self, state: _State) -> int:
-        """Return how many calls an upstream should get at a time."""
-        return self.crowding.limit(max(1, state.listed.entry.slots))
-
-    def count_waiting(self, rank: int) -> int:
-        """Count the fleet's waiting calls that are at least as urgent as a rank."""
-        return self.queue.waiting_up_to(rank) + sum(
-            sum(waiting[: rank + 1]) for waiting in self.waiting_elsewhere.values()
-        )
-
-    def note_work(self, work: float) -> None:
-        """Count a call with its usual service time."""
-        if self.mean_work is None:
-            self.mean_work = work
-        self.mean_work += MIX_WEIGHT * (work - self.mean_work)
-
-    def call_work(self, call: Call) -> float:
-        """Return the usual service time of a call."""
-        return self.work_of(call.kind).mean
-
-    def work_of(self, call_kind: Any) -> WorkEstimate:
-        estimate = self.work.get(call_kind.name)
-        if estimate is None:
-            first = FIRST_WORK_SHARE * call_kind.time_limit
-            estimate = self.work[call_kind.name] = WorkEstimate(first)
-        return estimate
 
 
 class SharedContext(NamedTuple):
@@ -194,10 +78,10 @@
         self._clock = context.clock
         self._metrics = context.metrics
         self._random = random.Random()
-        self._pools: dict[str, _Pool] = {}
+        self._pools: dict[str, ServicePool] = {}
         self._listed: dict[str, list[ListedUpstream]] = {}
-        self._states: dict[str, _State] = {}
-        self._pool_of: dict[str, _Pool] = {}
+        self._states: dict[str, UpstreamState] = {}
+        self._pool_of: dict[str, ServicePool] = {}
         self._heard_at: dict[str, float] = {}
         # What the next news tells.
         self._touched: set[str] = set()
@@ -210,7 +94,7 @@
         for service in configuration.services:
             pool = self._pools.get(service.name)
             if pool is None:
-                self._pools[service.name] = _Pool(
+                self._pools[service.name] = ServicePool(
                     service, ranks, self._context.queue_length
                 )
             else:
@@ -229,16 +113,15 @@
         self._distribute()
 
     def _distribute(self) -> None:
-        states: dict[str, _State] = {}
+        states: dict[str, UpstreamState] = {}
         for name, pool in self._pools.items():
             pool_states = {}
             for listed in self._listed.get(name, ()):
                 entry = listed.entry
                 state = self._states.get(entry.id)
-                if state is None or _restarted(state, listed):
-                    state = _State(listed)
-                state.listed = listed
-                state.upstream = _upstream_of(listed)
+                if state is None or state.restarted_as(listed):
+                    state = UpstreamState(listed)
+                state.list_as(listed)
                 pool_states[entry.id] = states[entry.id] = state
                 self._pool_of[entry.id] = pool
             pool.states = pool_states
@@ -267,7 +150,9 @@
         self._refuse_early(pool, call, now)
         return await self._wait(pool, call, exclude)
 
-    async def _wait(self, pool: _Pool, call: Call, exclude: frozenset[str]) -> Slot:
+    async def _wait(
+        self, pool: ServicePool, call: Call, exclude: frozenset[str]
+    ) -> Slot:
         future = asyncio.get_running_loop().create_future()
         waiter = Waiter(call, future, exclude)
         victim = pool.queue.push(waiter)
@@ -302,27 +187,14 @@
             return
         self._learn(pool, state, outcome, now)
         if outcome.status is OutcomeStatus.ANSWERED:
-            self._learn_time(pool, slot, outcome)
+            pool.learn_time(slot, outcome)
         self._serve(pool)
 
-    def _learn_time(self, pool: _Pool, slot: PlacedSlot, outcome: Outcome) -> None:
-        report = outcome.report
-        if report is None or (report.slowness or 1.0) > CLEAN_SLOWNESS:
-            return
-        work = pool.work_of(slot.kind)
-        slots = slot.state.listed.entry.slots
-        if slot.level <= max(1, slots // 2):
-            work.observe(outcome.elapsed)
-        last_level = report.in_flight or 0
-        pool.crowding.observe(
-            slot.level, last_level, slots, outcome.elapsed / work.mean
-        )
-
     def _learn(
-        self, pool: _Pool, state: _State, outcome: Outcome, now: float
+        self, pool: ServicePool, state: UpstreamState, outcome: Outcome, now: float
     ) -> float | None:
         slowness = outcome.report.slowness if outcome.report is not None else None
-        failed = self._note_status(state, outcome.status, now)
+        failed = state.note_status(outcome.status, now)
         if slowness is not None:
             state.pace.note_slowness(slowness, now)
             pool.usual.observe(slowness)
@@ -335,28 +207,7 @@
             self._context.publish()
         return slowness
 
-    def _note_status(
-        self, state: _State, status: OutcomeStatus, now: float
-    ) -> bool | None:
-        """Return whether an attempt failed, or None if that is not known."""
-        if status is OutcomeStatus.CANCELLED:
-            return None
-        if status is OutcomeStatus.REFUSED:
-            state.refusals += 1
-            backoff = SHED_BACKOFF_FIRST_S * 2 ** min(state.refusals - 1, 6)
-            state.closed_until = now + min(SHED_BACKOFF_MOST_S, backoff)
-            return True
-        if status is OutcomeStatus.UNREACHABLE:
-            state.unreachable += 1
-            backoff = UNREACHABLE_BACKOFF_FIRST_S * 2 ** min(state.unreachable, 6)
-            state.closed_until = now + min(UNREACHABLE_BACKOFF_MOST_S, backoff)
-            return True
-        if status is OutcomeStatus.ANSWERED:
-            state.refusals = state.unreachable = 0
-            return False
-        return True
-
-    def _take(self, pool: _Pool, call: Call, placement: Placement) -> PlacedSlot:
+    def _take(self, pool: ServicePool, call: Call, placement: Placement) -> PlacedSlot:
         state = pool.states[placement.id]
         state.own += 1
         self._touched.add(placement.id)
@@ -369,43 +220,14 @@
         self._context.publish()
 
     def _place(
-        self, pool: _Pool, call: Call, exclude: frozenset[str], now: float
+        self, pool: ServicePool, call: Call, exclude: frozenset[str], now: float
     ) -> Placement | None:
         work = pool.work_of(call.kind).mean
-        candidates = self._candidates(pool, exclude, now)
+        candidates = pool.candidates(exclude, self._context.data_centre, now)
         return place(candidates, work, self._random)
 
-    def _candidates(
-        self, pool: _Pool, exclude: frozenset[str], now: float
-    ) -> list[Candidate]:
-        usual = pool.usual.mean
-        limits: dict[int, int] = {}
-        found = []
-        closed = []
-        for upstream_id, state in pool.states.items():
-            if state.upstream.address in exclude:
-                continue
-            listed = state.listed
-            slots = listed.entry.slots
-            limit = limits.get(slots)
-            if limit is None:
-                limit = limits[slots] = pool.limit(state)
-            candidate = Candidate(
-                upstream_id,
-                limit,
-                state.in_flight,
-                state.pace.slowness(usual, now),
-                state.pace.error_rate(now),
-                listed.entry.data_centre != self._context.data_centre,
-                listed.absent,
-                now < listed.cold_until,
-                now - state.pace.reported_at,
-            )
-            (found if state.closed_until <= now else closed).append(candidate)
-        return found or closed
-
-    def _refuse_early(self, pool: _Pool, call: Call, now: float) -> None:
-        pressure = self._pressure(pool, call, now)
+    def _refuse_early(self, pool: ServicePool, call: Call, now: float) -> None:
+        pressure = pool.pressure(call, now)
         if should_refuse(call, pool.call_work(call), pressure, now):
             self._metrics.increment("queue.refused_early")
             raise OverloadedError(
@@ -413,20 +235,7 @@
                 f" at {pressure.capacity:.0f}/s"
             )
 
-    def _pressure(self, pool: _Pool, call: Call, now: float) -> Pressure:
-        ahead = pool.count_waiting(call.rank)
-        work = pool.mean_work or pool.call_work(call)
-        usual_speed = pool.usual.speed
-        capacity = 0.0
-        for state in pool.states.values():
-            if state.closed_until <= now:
-                limit = pool.limit(state)
-                crowded = pool.crowding.time_at(limit, state.listed.entry.slots)
-                speed = state.pace.speed(usual_speed, now)
-                capacity += limit * speed / (work * crowded)
-        return Pressure(ahead, CAPACITY_USED * capacity)
-
-    def _serve(self, pool: _Pool) -> None:
+    def _serve(self, pool: ServicePool) -> None:
         """Give free slots to queued calls."""
         if not pool.queue:
             return
@@ -451,13 +260,13 @@
         if not waiter.token.done():
             waiter.token.set_exception(error)
 
-    def _set_timer(self, pool: _Pool) -> None:
+    def _set_timer(self, pool: ServicePool) -> None:
         if pool.timer is None:
             loop = asyncio.get_running_loop()
             delay = LOOK_AGAIN_S * self._random.uniform(0.5, 1.5)
             pool.timer = loop.call_later(delay, self._look_again, pool)
 
-    def _look_again(self, pool: _Pool) -> None:
+    def _look_again(self, pool: ServicePool) -> None:
         pool.timer = None
         self._serve(pool)
 
@@ -562,9 +371,7 @@
         if pool is None:
             return
         for state in pool.states.values():
-            if state.upstream.address == duty.address and _is_same(
-                state, outcome.report
-            ):
+            if state.upstream.address == duty.address and state.gave(outcome.report):
                 self._learn(pool, state, outcome, self._clock.monotonic())
 
     def is_pressed(self, call: Call) -> bool:
@@ -603,12 +410,3 @@
             for state in pool.states.values()
         )
         return RouterStatus(self.name, queued, upstreams)
-
-
-def _restarted(state: _State, listed: ListedUpstream) -> bool:
-    before, after = state.listed.entry, listed.entry
-    return (before.started_ms, before.address) != (after.started_ms, after.address)
-
-
-def _is_same(state: _State, report: LoadReport | None) -> bool:
-    return report is None or not report.instance or report.instance == state.upstream.id
