--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -7,6 +7,7 @@
 
 LIST = Path(__file__).resolve().parents[1] / "KNOWN-RED.txt"
 _FAILING = re.compile(r"^\s+(tests/features/\S+\.feature:\d+)\s", re.MULTILINE)
+_LISTED = re.compile(r"tests/features/\S+\.feature:\d+")
 
 
 def main() -> int:
@@ -20,8 +21,9 @@
     print(run.stdout, end="")
     if run.returncode == 0:
         return 0
-    listed = LIST.read_text() if LIST.exists() else ""
-    failing = set(_FAILING.findall(run.stdout.partition("Failing scenarios:")[2]))
+    listed = set(_LISTED.findall(LIST.read_text())) if LIST.exists() else set()
+    # Scenarios that ended with an error stand in a section of their own.
+    failing = set(_FAILING.findall(run.stdout))
     for scenario in sorted(failing):
         known = "known red" if scenario in listed else "RED"
         print(f"{known}: {scenario}")
