Sum loads at relays instead of passing on every gateway's

Every gateway also told the directory changes again that it had heard from others, configuration texts included.

A gateway now sends its load to the relay of its data centre, relays exchange sums, and a confirmation number lets each gateway take its own part off again. News are only what a gateway read itself, and name the revision that they start from, so that a gap is seen even when later news arrive. A relay repeats which of its members the directory turns away.

--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -45,11 +45,12 @@
         # What the next news tells.
         self._changed: list[UpstreamEntry] = []
         self._text_changed = False
+        self._told_revision = 0
         self._expiry: asyncio.TimerHandle | None = None
         # How far this gateway has applied changes, and since when a peer is ahead.
         self._revision = 0
+        self._ahead_revision = 0
         self._behind_since: float | None = None
-        self._failing = False
         self._loaded = asyncio.Event()
 
     @property
@@ -86,8 +87,9 @@
             new = self._table.apply_listing(changes.entries, changes.revision, now)
         else:
             new = self._table.apply(changes.entries, now)
+        self._note_own_change()
         self._note_revision(changes.revision)
-        self._use(new, changes.configuration, "directory")
+        self._use(new, changes.configuration, "directory", tell=True)
 
     def note_failure(self) -> None:
         """Note that the directory did not answer this gateway."""
@@ -103,21 +105,19 @@
         if news.entries or configuration:
             now = self._clock.monotonic()
             new = self._table.apply(map(_from_wire, news.entries), now)
-            # The sender has told everything up to here in this or earlier news.
-            self._note_revision(news.directory_revision)
-            self._use(new, configuration, news.origin)
-        if news.directory_age_ms >= 0:
-            self._note_peer(news)
+            # With a gap before them, the news do not show that this gateway is as far.
+            if news.since_revision <= self._revision:
+                self._note_revision(news.directory_revision)
+            self._use(new, configuration, news.origin, tell=False)
+        self.note_progress(news.directory_revision, news.directory_age_ms)
 
     def table(self) -> Table:
         """Return everything for a new peer."""
-        revision, age_ms = self._progress()
         return Table(
             tuple(_to_wire(entry) for entry in self._table.entries),
             self._text.revision,
             self._text.text,
-            revision,
-            age_ms,
+            **self.progress(),
         )
 
     def take_table(self, table: Table) -> None:
@@ -126,16 +126,18 @@
             return
         now = self._clock.monotonic()
         new = self._table.apply(map(_from_wire, table.entries), now)
+        self._note_own_change()
         self._note_revision(table.directory_revision)
         self._follower.note_news(table.directory_revision, table.directory_age_ms / 1e3)
         self._use(
             new,
             ConfigurationText(table.configuration_revision, table.configuration),
             "a peer's table",
+            tell=True,
         )
 
-    def compose(self, *, full: bool) -> dict[str, Any]:
-        """Return the fields of the next news that the directory fills."""
+    def compose(self) -> dict[str, Any] | None:
+        """Return the fields of the next news, or None without any."""
         fields: dict[str, Any] = {}
         if self._changed:
             fields["entries"] = tuple(_to_wire(entry) for entry in self._changed)
@@ -144,41 +146,58 @@
             fields["configuration_revision"] = self._text.revision
             fields["configuration"] = self._text.text
             self._text_changed = False
-        if fields or full or self._failing != self._follower.failing:
-            self._failing = self._follower.failing
-            revision, age_ms = self._progress()
-            fields["directory_revision"] = revision
-            fields["directory_age_ms"] = age_ms
-        return fields
+        if not fields:
+            return None
+        fields["since_revision"] = self._told_revision
+        self._told_revision = self._revision
+        return {**fields, **self.progress()}
+
+    def progress(self) -> dict[str, int]:
+        """Return how far and how freshly the directory is known."""
+        return {
+            "directory_revision": self._revision,
+            "directory_age_ms": round(self._follower.age * 1000),
+        }
+
+    def note_progress(self, revision: int, age_ms: int) -> None:
+        """Note how far and how freshly a peer knows the directory."""
+        if age_ms < 0 or revision == 0:
+            return
+        if revision <= self._revision:
+            self._follower.note_news(revision, age_ms / 1000)
+            return
+        self._ahead_revision = max(self._ahead_revision, revision)
+        if self._behind_since is None:
+            self._behind_since = self._clock.monotonic()
 
-    def _progress(self) -> tuple[int, int]:
-        return self._revision, round(self._follower.age * 1000)
+    def _note_own_change(self) -> None:
+        """Start the next news at the revision known so far."""
+        if not (self._changed or self._text_changed):
+            self._told_revision = self._revision
 
     def _note_revision(self, revision: int) -> None:
         self._revision = max(self._revision, revision)
-
-    def _note_peer(self, news: News) -> None:
-        if news.directory_revision > self._revision:
-            if self._behind_since is None:
-                self._behind_since = self._clock.monotonic()
-            return
-        self._behind_since = None
-        self._follower.note_news(news.directory_revision, news.directory_age_ms / 1e3)
+        # News of a peer that is behind as well do not close the gap.
+        if self._revision >= self._ahead_revision:
+            self._behind_since = None
 
     def _use(
         self,
         new: tuple[UpstreamEntry, ...],
         configuration: ConfigurationText | None,
         source: str,
+        *,
+        tell: bool,
     ) -> None:
         if self._revision:
             self._loaded.set()
         if configuration is not None and configuration.revision > self._text.revision:
             self._text = configuration
-            self._text_changed = True
+            self._text_changed = self._text_changed or tell
             self._store.offer(configuration.text, configuration.revision, source)
         if new:
-            self._changed.extend(new)
+            if tell:
+                self._changed.extend(new)
             self._metrics.increment("directory.entries", len(new))
             for entry in new:
                 logging.info("upstream entry %s from %s", entry, source)
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -1,7 +1,6 @@
 """Join the services of a gateway whose fleet finds itself and keeps no state."""
 
 import asyncio
-from typing import Any
 
 from absl import logging
 from mode import Service
@@ -15,7 +14,7 @@
 from dogwoodshed._internal.directory.view import DirectoryView
 from dogwoodshed._internal.endpoints import Endpoints
 from dogwoodshed._internal.membership import STATE_JOINING, STATE_LEAVING, STATE_READY
-from dogwoodshed._internal.mesh.messages import News, Table
+from dogwoodshed._internal.mesh.messages import CentreLoad
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.probing.prober import Prober
@@ -31,11 +30,12 @@
     FleetRetryPolicy,
 )
 from dogwoodshed._internal.routing.shared import SharedContext, SharedRouter
+from dogwoodshed._internal.routing.shared_load import SharedLoad
 from dogwoodshed._internal.settings import Settings, split_address
 
 # Peers bring a starting gateway up to date within a few round trips; it reads the
 # directory itself when none has by then.
-FIRST_READ_AFTER_S = 0.15
+FIRST_READ_AFTER_S = 0.03
 FORGET_TICK_S = 0.3
 
 
@@ -74,32 +74,27 @@
 class _Knowledge:
     """Join what the directory and the router tell the other gateways."""
 
-    def __init__(self, view: DirectoryView, router: SharedRouter) -> None:
+    def __init__(self, view: DirectoryView, load: SharedLoad) -> None:
         self._view = view
-        self._router = router
+        self._load = load
+        self.compose_news = view.compose
+        self.take_news = view.take_news
+        self.table = view.table
+        self.take_table = view.take_table
+        self.progress = view.progress
+        self.compose_load = load.compose
+        self.use_relay = load.use_relay
+        self.note_received = load.note_received
 
     @property
     def directory_failing(self) -> bool:
         """Tell whether the directory turns this gateway away."""
         return self._view.failing
 
-    def compose(self, *, full: bool) -> dict[str, Any] | None:
-        """Return the fields of the next news, or None without any."""
-        fields = {**self._view.compose(full=full), **self._router.compose(full=full)}
-        return fields or None
-
-    def take_news(self, news: News) -> None:
-        """Use news of another gateway."""
-        self._view.take_news(news)
-        self._router.take_news(news, full=bool(news.address))
-
-    def table(self) -> Table:
-        """Return everything known of the directory."""
-        return self._view.table()
-
-    def take_table(self, table: Table) -> None:
-        """Use what a peer knows of the directory."""
-        self._view.take_table(table)
+    def take_load(self, load: CentreLoad) -> None:
+        """Use the load of the gateways that a relay serves."""
+        self._view.note_progress(load.directory_revision, load.directory_age_ms)
+        self._load.take(load)
 
 
 class FleetGateway(Service):
@@ -150,13 +145,13 @@
             lambda: self._roster.reader_rank,
             self._view.take_changes,
             self._view.note_failure,
-            self._tell_reachable,
+            self._overlay.publish,
             self._clock,
             self._metrics,
             first_read_after=FIRST_READ_AFTER_S,
         )
         self._view.attach(self._follower)
-        self._overlay.attach(_Knowledge(self._view, self._router))
+        self._overlay.attach(_Knowledge(self._view, self._router.load))
         self._store.subscribe(self._router.apply_configuration)
         self._budget = FleetBudget(settings.retries)
         self._roster.subscribe(
@@ -190,12 +185,6 @@
             data_centre
         )
 
-    def _tell_reachable(self) -> None:
-        """Tell the others at once whether this gateway can read the directory."""
-        own = self._settings.id
-        self._roster.note_reader(own, failing=self._follower.failing)
-        self._overlay.publish()
-
     def _apply_upstreams(self, listed: list[ListedUpstream]) -> None:
         self._router.apply_upstreams(listed)
         self._pools.keep_only({upstream.entry.address for upstream in listed})
@@ -264,7 +253,7 @@
     @Service.task
     async def _keep_up(self) -> None:
         while not self.should_stop:
-            self._router.forget_silent()
+            self._router.load.forget_silent()
             if self._view.has_gap:
                 self._overlay.ask_for_table()
             await asyncio.sleep(FORGET_TICK_S)
--- a/src/dogwoodshed/_internal/mesh/connection.py
+++ b/src/dogwoodshed/_internal/mesh/connection.py
@@ -10,12 +10,13 @@
     ProtocolError,
 )
 from dogwoodshed._internal.mesh.codec import Decoder, Envelope, encode
-from dogwoodshed._internal.mesh.messages import Bundle, Heartbeat, Hello
+from dogwoodshed._internal.mesh.messages import FleetLoad, Heartbeat, Hello, HostLoad
 
 READ_BYTES = 65_536
-# Above the first bound heartbeats are dropped, since a later one replaces them; above
-# the second the peer does not read any more and the connection is closed.
+# Above the first bound heartbeats and loads are dropped, since later ones replace them;
+# above the second the peer does not read any more and the connection is closed.
 STALE_DROP_BYTES = 65_536
+_REPLACED_SOON = (Heartbeat, HostLoad, FleetLoad)
 MAX_BUFFER_BYTES = 8 * 1024 * 1024
 
 
@@ -95,16 +96,28 @@
 
     def send(self, message: Any, request_id: int = 0) -> bool:
         """Queue a message; drop it if it would soon be stale."""
+        replaced_soon = isinstance(message, _REPLACED_SOON)
+        return self._may_queue(replaced_soon) and self._write(
+            encode(message, request_id)
+        )
+
+    def send_encoded_load(self, data: bytes) -> bool:
+        """Queue a load that several peers get; drop it if it would soon be stale."""
+        return self._may_queue(True) and self._write(data)
+
+    def _may_queue(self, replaced_soon: bool) -> bool:
         if self.closing:
             return False
         waiting = self._writer.transport.get_write_buffer_size()
         if waiting > MAX_BUFFER_BYTES:
             self.close()
             return False
-        if waiting > STALE_DROP_BYTES and isinstance(message, Heartbeat | Bundle):
+        if waiting > STALE_DROP_BYTES and replaced_soon:
             self._dropped += 1
             return False
-        data = encode(message, request_id)
+        return True
+
+    def _write(self, data: bytes) -> bool:
         self._sent_bytes += len(data)
         self._writer.write(data)
         return True
--- a/src/dogwoodshed/_internal/mesh/messages.py
+++ b/src/dogwoodshed/_internal/mesh/messages.py
@@ -242,16 +242,18 @@
 
 
 class UpstreamReport(NamedTuple):
-    """What a gateway learned of an upstream from an answer or a probe."""
+    """What gateways learned of an upstream from answers and probes."""
 
     upstream_id: str
-    # Percent of the usual service time, 0 if unknown.
+    # The latest percentage of the usual service time, 0 if unknown.
     slowness: int
-    failed: bool = False
+    # Attempts since the previous report that ended well, and that failed.
+    answered: int = 0
+    failed: int = 0
 
 
 class Waiting(NamedTuple):
-    """The calls of one service that wait at a gateway, by rank."""
+    """The calls of one service that wait, by rank."""
 
     service: str
     by_rank: tuple[int, ...]
@@ -273,36 +275,75 @@
 
 
 class News(NamedTuple):
-    """What changed at one gateway since its previous news."""
+    """What changed at one gateway; every gateway passes it on once."""
 
     origin: str
     incarnation: int
     sequence: int
-    in_flight: tuple[InFlight, ...] = ()
-    reports: tuple[UpstreamReport, ...] = ()
-    waiting: tuple[Waiting, ...] = ()
     entries: tuple[Entry, ...] = ()
     # Revision and text of a new configuration; revision 0 means none.
     configuration_revision: int = 0
     configuration: str = ""
-    # How far the sender knows the directory, and the age of the proof in milliseconds.
+    # The news hold every change of the directory from one revision to the other.
+    since_revision: int = 0
     directory_revision: int = 0
+    # The age of the proof that the sender is up to date, in milliseconds.
     directory_age_ms: int = -1
-    # Set in full news, which name everything that is in flight.
-    address: str = ""
-    data_centre: str = ""
     state: str = ""
-    relay_weight: float = 1.0
-    # Whether the last call to the directory failed; another gateway then reads.
-    directory_failing: bool = False
 
 
 class Bundle(NamedTuple):
-    """News of several gateways; an empty one shows that the connection works."""
+    """News of several gateways."""
 
     news: tuple[News, ...]
 
 
+class HostLoad(NamedTuple):
+    """The load of one gateway, for its relay; names everything in flight."""
+
+    # Counts the messages on this connection; the relay confirms the last one.
+    sequence: int
+    in_flight: tuple[InFlight, ...] = ()
+    reports: tuple[UpstreamReport, ...] = ()
+    waiting: tuple[Waiting, ...] = ()
+    # How far the sender knows the directory, and the age of the proof in milliseconds.
+    directory_revision: int = 0
+    directory_age_ms: int = -1
+    # Whether the last call to the directory failed; another gateway then reads.
+    directory_failing: bool = False
+
+
+class CentreLoad(NamedTuple):
+    """The load of all gateways that one relay serves, summed."""
+
+    relay: str
+    incarnation: int
+    sequence: int
+    # Whether it names everything; otherwise only what changed.
+    full: bool = False
+    in_flight: tuple[InFlight, ...] = ()
+    reports: tuple[UpstreamReport, ...] = ()
+    waiting: tuple[Waiting, ...] = ()
+    # The gateways that the relay serves; empty means as told before.
+    members: tuple[Member, ...] = ()
+    directory_revision: int = 0
+    directory_age_ms: int = -1
+    # The members that the directory turns away; told every time.
+    failing_readers: tuple[str, ...] = ()
+
+
+class FleetLoad(NamedTuple):
+    """The load of several data centres; an empty one shows that a connection works."""
+
+    loads: tuple[CentreLoad, ...]
+
+
+class LoadReceived(NamedTuple):
+    """Confirm that the load that follows counts a gateway's load up to a number."""
+
+    sequence: int
+
+
 class TableRequest(NamedTuple):
     """Ask for everything that a peer knows of the directory."""
 
@@ -339,7 +380,11 @@
     18: Acknowledged,
     19: RecordsRequest,
     20: Roster,
-    21: Bundle,
+    # 21 was a bundle whose news held the load of each gateway by itself.
     22: TableRequest,
     23: Table,
+    24: Bundle,
+    25: HostLoad,
+    26: FleetLoad,
+    27: LoadReceived,
 }
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -1,4 +1,4 @@
-"""Pass news between gateways along a tree of relays."""
+"""Keep the connections between gateways along a tree of relays."""
 
 import asyncio
 import random
@@ -9,30 +9,35 @@
 
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.exceptions import MeshError
-from dogwoodshed._internal.membership import STATE_LEAVING, STATE_READY
+from dogwoodshed._internal.membership import STATE_LEAVING
 from dogwoodshed._internal.mesh.connection import Connection
+from dogwoodshed._internal.mesh.load_exchange import (
+    KEEPALIVE_S,
+    LoadExchange,
+    LoadSource,
+)
 from dogwoodshed._internal.mesh.messages import (
     PROTOCOL_VERSION,
     Bundle,
+    FleetLoad,
     Hello,
+    HostLoad,
+    LoadReceived,
     Member,
     News,
     Roster,
     Table,
     TableRequest,
 )
+from dogwoodshed._internal.mesh.news_flood import NewsFlood
 from dogwoodshed._internal.mesh.roster import FleetRoster
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.settings import Settings, split_address
 
-# News leave at once after a quiet time and are gathered for this long otherwise; a
-# larger fleet gathers longer, since every gateway decodes the news of all others.
+# Messages leave at once after a quiet time and are gathered for this long otherwise; a
+# larger fleet gathers longer, since its relays send to more gateways.
 GATHER_LEAST_S = 0.025
-GATHER_PER_GATEWAY_S = 0.001
-# Bytes between data centres have a price, and each bundle has headers of its own.
-REMOTE_GATHER_S = 0.06
-FULL_NEWS_S = 0.5
-KEEPALIVE_S = 0.3
+GATHER_PER_GATEWAY_S = 0.0005
 # Three missed keepalives; on loopback and in a data centre nothing else delays them.
 SILENT_AFTER_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
@@ -44,14 +49,10 @@
 TABLE_RETRY_S = 0.5
 
 
-class NewsSource(Protocol):
+class NewsSource(LoadSource, Protocol):
     """Give what this gateway tells the others, and take what they tell."""
 
-    @property
-    def directory_failing(self) -> bool:
-        """Tell whether the directory turns this gateway away."""
-
-    def compose(self, *, full: bool) -> dict[str, Any] | None:
+    def compose_news(self) -> dict[str, Any] | None:
         """Return the fields of the next news, or None without any."""
 
     def take_news(self, news: News) -> None:
@@ -65,7 +66,7 @@
 
 
 class Overlay(Service):
-    """Keep the connections to relays and flood news over them."""
+    """Keep the connections to relays; loads and news pass over them."""
 
     mundane_level = "debug"
 
@@ -98,17 +99,12 @@
         self._heard_at: dict[str, float] = {}
         self._wanted_at: dict[str, float] = {}
         self._dialling: set[str] = set()
-        self._seen: dict[str, tuple[int, int]] = {}
-        self._pending: dict[str, list[News]] = {}
-        self._sent_at: dict[str, float] = {}
-        self._sequence = 0
-        self._dirty = False
+        self._news = NewsFlood(self._hello, self._is_remote)
+        self._loads = LoadExchange(self._hello, self._roster, clock)
         self._flush_timer: asyncio.TimerHandle | None = None
         self._flushed_at = float("-inf")
-        self._full_at = float("-inf")
         self._sought_at = float("-inf")
         self._table_asked_at = float("-inf")
-        self._leaving = False
         self._listener: asyncio.Server | None = None
 
     @property
@@ -120,16 +116,16 @@
         return tuple(sorted(self._connections))
 
     def attach(self, source: NewsSource) -> None:
-        """Set what composes and uses news."""
+        """Set what composes and uses loads and news."""
         self._source = source
+        self._loads.attach(source)
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Use other first contacts, after a change of the settings."""
         self._seeds = seeds
 
     def publish(self) -> None:
-        """Send news soon."""
-        self._dirty = True
+        """Send what is new soon."""
         self._schedule_flush()
 
     def ask_for_table(self) -> None:
@@ -149,9 +145,8 @@
 
     async def announce_leaving(self) -> None:
         """Tell all peers that this gateway stops, and relay for nobody."""
-        self._leaving = True
         self._roster.note_leaving()
-        self._full_at = float("-inf")
+        self._news.add_own({"state": STATE_LEAVING})
         self._flush()
 
     async def on_stop(self) -> None:
@@ -169,9 +164,7 @@
             self._close_silent(now)
             self._dial_wanted(now)
             self._seek(now)
-            if now - self._full_at >= FULL_NEWS_S or (
-                now - self._flushed_at >= KEEPALIVE_S
-            ):
+            if now - self._flushed_at >= KEEPALIVE_S - TICK_S:
                 self._flush()
             await self.sleep(TICK_S)
 
@@ -265,8 +258,12 @@
         finally:
             connection.close()
             if self._connections.get(hello.peer_id) is connection:
-                del self._connections[hello.peer_id]
-                self._pending.pop(hello.peer_id, None)
+                self._drop(hello.peer_id)
+
+    def _drop(self, peer_id: str) -> None:
+        del self._connections[peer_id]
+        self._news.drop_peer(peer_id)
+        self._loads.drop_peer(peer_id)
 
     def _adopt(self, connection: Connection) -> bool:
         hello = connection.hello
@@ -279,11 +276,13 @@
             if current.hello.incarnation == hello.incarnation and not preferred:
                 return False
             current.close()
+        if current is not None:
+            self._drop(hello.peer_id)
         now = self._clock.monotonic()
         self._connections[hello.peer_id] = connection
         self._heard_at[hello.peer_id] = self._wanted_at[hello.peer_id] = now
-        self._pending[hello.peer_id] = []
-        self._sent_at[hello.peer_id] = float("-inf")
+        self._news.add_peer(hello.peer_id)
+        self._loads.add_peer(remote=self._is_remote(hello.peer_id))
         self._roster.note_member(
             Member(
                 hello.peer_id,
@@ -296,13 +295,20 @@
         self._roster.note_heard(hello.peer_id, hello.incarnation, leaving=False)
         connection.send(Roster(self._roster.live))
         connection.send(self._source.table())
-        self._full_at = float("-inf")
         self.publish()
         return True
 
     def _handle(self, connection: Connection, message: Any) -> None:
         peer_id = connection.hello.peer_id
-        if isinstance(message, Bundle):
+        if isinstance(message, FleetLoad):
+            self._loads.take_fleet(peer_id, message)
+            self._schedule_flush_as_relay()
+        elif isinstance(message, HostLoad):
+            self._loads.take_host(peer_id, message)
+            self._schedule_flush()
+        elif isinstance(message, LoadReceived):
+            self._loads.take_received(peer_id, message)
+        elif isinstance(message, Bundle):
             for news in message.news:
                 self._take(peer_id, news)
         elif isinstance(message, Roster):
@@ -318,34 +324,12 @@
         self._roster.note_heard(member.id, member.incarnation, leaving=False)
 
     def _take(self, peer_id: str, news: News) -> None:
-        if news.origin == self._hello.peer_id:
-            return
-        incarnation, sequence = self._seen.get(news.origin, (0, 0))
-        if (news.incarnation, news.sequence) <= (incarnation, sequence):
+        if not self._news.take(peer_id, news):
             return
-        self._seen[news.origin] = news.incarnation, news.sequence
-        if news.address:
-            self._roster.note_member(
-                Member(
-                    news.origin,
-                    news.address,
-                    news.data_centre,
-                    news.incarnation,
-                    news.relay_weight,
-                )
-            )
         leaving = news.state == STATE_LEAVING
         self._roster.note_heard(news.origin, news.incarnation, leaving=leaving)
-        self._roster.note_reader(news.origin, failing=news.directory_failing)
         self._source.take_news(news)
-        from_remote = self._is_remote(peer_id)
-        for other, pending in self._pending.items():
-            if other in (peer_id, news.origin):
-                continue
-            # The relays hold connections to each other and need no second copy.
-            if not (from_remote and self._is_remote(other)):
-                pending.append(news)
-                self._schedule_flush()
+        self._schedule_flush()
 
     def _is_remote(self, peer_id: str) -> bool:
         connection = self._connections.get(peer_id)
@@ -369,47 +353,21 @@
         loop = asyncio.get_running_loop()
         self._flush_timer = loop.call_later(max(0.0, delay), self._flush)
 
+    def _schedule_flush_as_relay(self) -> None:
+        if self._roster.is_relay:
+            self._schedule_flush()
+
     def _flush(self) -> None:
         if self._flush_timer is not None:
             self._flush_timer.cancel()
             self._flush_timer = None
-        now = self._clock.monotonic()
-        own = self._own_news(now)
-        self._flushed_at = now
-        held = False
-        for peer_id, connection in list(self._connections.items()):
-            news = self._pending[peer_id]
-            if own is not None:
-                news.append(own)
-            if now - self._sent_at[peer_id] < self._least_gap(peer_id):
-                held = held or bool(news)
-            elif news or now - self._sent_at[peer_id] >= KEEPALIVE_S:
-                self._pending[peer_id] = []
-                self._sent_at[peer_id] = now
-                connection.send(Bundle(tuple(news)))
-        if held:
+        self._flushed_at = self._clock.monotonic()
+        if self._source is None:
+            return
+        fields = self._source.compose_news()
+        if fields is not None:
+            self._news.add_own(fields)
+        for peer_id, bundle in self._news.take_pending():
+            self._connections[peer_id].send(bundle)
+        if self._loads.flush(self._connections):
             self._schedule_flush()
-
-    def _least_gap(self, peer_id: str) -> float:
-        return REMOTE_GATHER_S if self._is_remote(peer_id) else 0.0
-
-    def _own_news(self, now: float) -> News | None:
-        full = now - self._full_at >= FULL_NEWS_S
-        if not (full or self._dirty) or self._source is None:
-            return None
-        self._dirty = False
-        fields = self._source.compose(full=full)
-        if full:
-            self._full_at = now
-            fields = fields or {}
-            fields["address"] = self._hello.address
-            fields["data_centre"] = self._hello.data_centre
-            fields["relay_weight"] = self._hello.relay_weight
-            fields["state"] = STATE_LEAVING if self._leaving else STATE_READY
-        if fields is None:
-            return None
-        fields["directory_failing"] = self._source.directory_failing
-        self._sequence += 1
-        return News(
-            self._hello.peer_id, self._hello.incarnation, self._sequence, **fields
-        )
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -66,6 +66,10 @@
         readers.sort(key=lambda member: member.id in self._failing_readers)
         return readers.index(self._own) if self._own in readers else len(readers)
 
+    @property
+    def failing_readers(self) -> frozenset[str]:
+        return frozenset(self._failing_readers)
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call a listener when the live gateways change."""
         self._listeners.append(listener)
@@ -103,6 +107,7 @@
             return
         if known is None or known.incarnation < member.incarnation:
             self._members[member.id] = member
+            self._failing_readers.discard(member.id)
 
     def note_heard(self, member_id: str, incarnation: int, *, leaving: bool) -> None:
         """Note news of a gateway."""
--- a/src/dogwoodshed/_internal/routing/shared.py
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 from collections.abc import Callable
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from dogwoodshed._internal.admission.on_time import (
     should_refuse,
@@ -21,12 +21,6 @@
     OverloadedError,
     QueueFullError,
 )
-from dogwoodshed._internal.mesh.messages import (
-    InFlight,
-    News,
-    UpstreamReport,
-    Waiting,
-)
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.base import (
@@ -43,6 +37,7 @@
     Placement,
     place,
 )
+from dogwoodshed._internal.routing.shared_load import SharedLoad
 from dogwoodshed._internal.routing.shared_pool import (
     PlacedSlot,
     ServicePool,
@@ -51,8 +46,6 @@
 
 # Queued calls look again this often, since upstreams free slots for other gateways too.
 LOOK_AGAIN_S = 0.01
-# Counts of a gateway that was not heard for longer are dropped.
-FORGET_ORIGIN_S = 1.7
 
 
 class SharedContext(NamedTuple):
@@ -60,7 +53,7 @@
 
     data_centre: str
     queue_length: int
-    # Asks for news to be sent soon.
+    # Asks for this gateway's load to be told soon.
     publish: Callable[[], None]
     # Tells whether this gateway probes the upstreams of a data centre.
     probes: Callable[[str], bool]
@@ -82,11 +75,11 @@
         self._listed: dict[str, list[ListedUpstream]] = {}
         self._states: dict[str, UpstreamState] = {}
         self._pool_of: dict[str, ServicePool] = {}
-        self._heard_at: dict[str, float] = {}
-        # What the next news tells.
-        self._touched: set[str] = set()
-        self._reports: dict[str, UpstreamReport] = {}
-        self._waiting_changed = False
+        self._load = SharedLoad(self._pools, self._states, self._pool_of, self._clock)
+
+    @property
+    def load(self) -> SharedLoad:
+        return self._load
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Use the services of a new configuration."""
@@ -128,7 +121,8 @@
             self._serve(pool)
         for gone in set(self._pool_of) - set(states):
             del self._pool_of[gone]
-        self._states = states
+        self._states.clear()
+        self._states.update(states)
 
     def set_draining(self, address: str, draining: bool) -> None:
         """Ignore reports of drains; the directory lists them in time."""
@@ -158,7 +152,7 @@
         victim = pool.queue.push(waiter)
         if victim is not None and not victim.token.done():
             victim.token.set_exception(QueueFullError(pool.service.name))
-        self._note_waiting()
+        self._context.publish()
         self._set_timer(pool)
         slot: PlacedSlot | None = None
         try:
@@ -169,7 +163,7 @@
             raise DeadlineUnreachableError(pool.service.name) from None
         finally:
             pool.queue.remove(waiter)
-            self._note_waiting()
+            self._context.publish()
             if slot is None:
                 self._recover(future)
 
@@ -201,22 +195,18 @@
         if failed is not None:
             state.pace.note_result(failed, now)
         if slowness is not None or failed:
-            self._reports[state.listed.entry.id] = UpstreamReport(
-                state.listed.entry.id, round((slowness or 0) * 100), bool(failed)
-            )
+            self._load.note_report(state.listed.entry.id, slowness, bool(failed))
             self._context.publish()
         return slowness
 
     def _take(self, pool: ServicePool, call: Call, placement: Placement) -> PlacedSlot:
         state = pool.states[placement.id]
         state.own += 1
-        self._touched.add(placement.id)
         self._context.publish()
         return PlacedSlot(pool.service, state, call, placement)
 
     def _leave(self, slot: PlacedSlot) -> None:
         slot.state.own -= 1
-        self._touched.add(slot.state.listed.entry.id)
         self._context.publish()
 
     def _place(
@@ -251,7 +241,7 @@
             pool.queue.remove(waiter)
             if not waiter.token.done():
                 waiter.token.set_result(self._take(pool, waiter.call, placement))
-        self._note_waiting()
+        self._context.publish()
         if pool.queue:
             self._set_timer(pool)
 
@@ -270,86 +260,6 @@
         pool.timer = None
         self._serve(pool)
 
-    def _note_waiting(self) -> None:
-        self._waiting_changed = True
-        self._context.publish()
-
-    # News of other gateways and for them.
-
-    def compose(self, *, full: bool) -> dict[str, Any]:
-        """Return the fields of the next news that routing tells."""
-        fields: dict[str, Any] = {}
-        if full:
-            busy = [key for key, state in self._states.items() if state.own]
-        else:
-            busy = [key for key in self._touched if key in self._states]
-        if busy:
-            fields["in_flight"] = tuple(
-                InFlight(key, self._states[key].own) for key in busy
-            )
-        if self._reports:
-            fields["reports"] = tuple(self._reports.values())
-        if self._waiting_changed or full:
-            waiting = tuple(
-                Waiting(name, pool.queue.lengths)
-                for name, pool in self._pools.items()
-                if pool.queue or not full
-            )
-            if waiting:
-                fields["waiting"] = waiting
-        self._touched.clear()
-        self._reports.clear()
-        self._waiting_changed = False
-        return fields
-
-    def take_news(self, news: News, *, full: bool) -> None:
-        """Use what another gateway tells of its calls and of upstreams."""
-        now = self._clock.monotonic()
-        self._heard_at[news.origin] = now
-        if full:
-            for state in self._states.values():
-                state.others.pop(news.origin, None)
-            for pool in self._pools.values():
-                pool.waiting_elsewhere.pop(news.origin, None)
-        for item in news.in_flight:
-            state = self._states.get(item.upstream_id)
-            if state is None:
-                continue
-            if item.calls:
-                state.others[news.origin] = item.calls
-            else:
-                state.others.pop(news.origin, None)
-        for report in news.reports:
-            self._take_report(report, now)
-        for waiting in news.waiting:
-            pool = self._pools.get(waiting.service)
-            if pool is not None:
-                pool.waiting_elsewhere[news.origin] = waiting.by_rank
-
-    def _take_report(self, report: UpstreamReport, now: float) -> None:
-        state = self._states.get(report.upstream_id)
-        if state is None:
-            return
-        if report.slowness:
-            slowness = report.slowness / 100
-            state.pace.note_slowness(slowness, now)
-            self._pool_of[report.upstream_id].usual.observe(slowness)
-        state.pace.note_result(report.failed, now)
-
-    def forget_silent(self) -> None:
-        """Drop the counts of gateways that were not heard for a while."""
-        now = self._clock.monotonic()
-        for origin, heard_at in list(self._heard_at.items()):
-            if now - heard_at < FORGET_ORIGIN_S:
-                continue
-            del self._heard_at[origin]
-            for state in self._states.values():
-                state.others.pop(origin, None)
-            for pool in self._pools.values():
-                pool.waiting_elsewhere.pop(origin, None)
-
-    # Probes and status.
-
     def probe_duties(self) -> tuple[ProbeDuty, ...]:
         """Return the upstreams that this gateway probes."""
         return tuple(
--- a/src/dogwoodshed/_internal/routing/shared_pool.py
+++ b/src/dogwoodshed/_internal/routing/shared_pool.py
@@ -63,6 +63,7 @@
 
     __slots__ = (
         "closed_until",
+        "counted",
         "listed",
         "others",
         "own",
@@ -77,14 +78,17 @@
         self.upstream = _upstream_of(listed)
         self.pace = Pace()
         self.own = 0
+        # Calls of all gateways, by the relay that tells of them; `counted` of them are
+        # this gateway's own.
         self.others: dict[str, int] = {}
+        self.counted = 0
         self.closed_until = 0.0
         self.refusals = 0
         self.unreachable = 0
 
     @property
     def in_flight(self) -> int:
-        return self.own + sum(self.others.values())
+        return self.own + max(0, sum(self.others.values()) - self.counted)
 
     def restarted_as(self, listed: ListedUpstream) -> bool:
         """Tell whether an entry is of a later run under the same id."""
@@ -142,8 +146,10 @@
         self.mean_work: float | None = None
         self.usual = UsualSlowness()
         self.work: dict[str, WorkEstimate] = {}
-        # Waiting calls of other gateways, by origin.
+        # Waiting calls of all gateways, by the relay that tells of them, and those
+        # among them that are this gateway's own.
         self.waiting_elsewhere: dict[str, tuple[int, ...]] = {}
+        self.waiting_counted: tuple[int, ...] = ()
         self.timer: asyncio.TimerHandle | None = None
 
     def limit(self, state: UpstreamState) -> int:
@@ -152,9 +158,9 @@
 
     def count_waiting(self, rank: int) -> int:
         """Count the fleet's waiting calls that are at least as urgent as a rank."""
-        return self.queue.waiting_up_to(rank) + sum(
-            sum(waiting[: rank + 1]) for waiting in self.waiting_elsewhere.values()
-        )
+        told = sum(sum(w[: rank + 1]) for w in self.waiting_elsewhere.values())
+        elsewhere = max(0, told - sum(self.waiting_counted[: rank + 1]))
+        return self.queue.waiting_up_to(rank) + elsewhere
 
     def note_work(self, work: float) -> None:
         """Count a call with its usual service time."""
--- a/tests/unit/test_shared_router.py
+++ b/tests/unit/test_shared_router.py
@@ -4,15 +4,25 @@
 import unittest
 
 from dogwoodshed._internal.exceptions import NoUpstreamError, OverloadedError
-from dogwoodshed._internal.mesh.messages import InFlight, News, UpstreamReport, Waiting
+from dogwoodshed._internal.mesh.messages import (
+    CentreLoad,
+    InFlight,
+    UpstreamReport,
+    Waiting,
+)
 from dogwoodshed._internal.routing.base import LoadReport, Outcome, OutcomeStatus
-from dogwoodshed._internal.routing.shared import FORGET_ORIGIN_S
+from dogwoodshed._internal.routing.shared_load import FORGET_RELAY_S
 from tests.lib import fleet_builders as builders
 
 
-def news(**fields):
-    """Build news of another gateway."""
-    return News("other", 1, 1, **fields)
+def load(**fields):
+    """Build the load that a relay tells."""
+    return CentreLoad("relay", 1, 1, **fields)
+
+
+def busy(calls):
+    """Build a relay's load with calls in flight at the first upstream."""
+    return load(in_flight=(InFlight("i-1", calls),))
 
 
 class SharedRouterTest(unittest.IsolatedAsyncioTestCase):
@@ -30,25 +40,25 @@
 
     async def test_other_gateways_calls_count(self):
         """Guards against gateways that all send to the upstream that looks idle."""
-        self.router.take_news(news(in_flight=(InFlight("i-1", 2),)), full=False)
+        self.router.load.take(busy(2))
         self.assertEqual({await self.chosen() for _ in range(20)}, {"i-2"})
 
     async def test_counts_of_a_silent_gateway_are_dropped(self):
         """Guards against slots that a dead gateway holds for ever."""
-        self.router.take_news(news(in_flight=(InFlight("i-1", 2),)), full=False)
-        self.clock.now += FORGET_ORIGIN_S + 0.1
-        self.router.forget_silent()
+        self.router.load.take(busy(2))
+        self.clock.now += FORGET_RELAY_S + 0.1
+        self.router.load.forget_silent()
         self.assertEqual(len({await self.chosen() for _ in range(40)}), 2)
 
     async def test_full_news_replace_what_was_known(self):
         """Guards against counts that stay after news were lost."""
-        self.router.take_news(news(in_flight=(InFlight("i-1", 2),)), full=False)
-        self.router.take_news(news(), full=True)
+        self.router.load.take(busy(2))
+        self.router.load.take(load(full=True))
         self.assertEqual(len({await self.chosen() for _ in range(40)}), 2)
 
     async def test_reports_of_other_gateways_count(self):
         """Guards against calls for a machine that others know to be slow."""
-        self.router.take_news(news(reports=(UpstreamReport("i-1", 700),)), full=False)
+        self.router.load.take(load(reports=(UpstreamReport("i-1", 700, 1),)))
         self.assertEqual({await self.chosen() for _ in range(20)}, {"i-2"})
 
     async def test_freed_slot_goes_to_the_waiting_call(self):
@@ -71,15 +81,14 @@
         await asyncio.gather(waiting, return_exceptions=True)
         for slot in slots:
             self.router.release(slot, Outcome(OutcomeStatus.CANCELLED, 0.1))
-        fields = self.router.compose(full=True)
-        self.assertNotIn("in_flight", fields)
+        self.assertEqual(self.router.load.compose(1)["in_flight"], ())
 
     async def test_flood_elsewhere_refuses_at_once(self):
         """Guards against calls held at a gateway that knows they cannot be served."""
         for _ in range(4):
             await self.router.acquire(self.call())
         flood = Waiting("profiles", (0, 500, 0))
-        self.router.take_news(news(waiting=(flood,)), full=False)
+        self.router.load.take(load(waiting=(flood,)))
         with self.assertRaises(OverloadedError):
             await self.router.acquire(self.call())
 
@@ -87,7 +96,7 @@
         """Guards against urgent calls refused for a flood that they go before."""
         slots = [await self.router.acquire(self.call()) for _ in range(4)]
         flood = Waiting("profiles", (0, 0, 500))
-        self.router.take_news(news(waiting=(flood,)), full=False)
+        self.router.load.take(load(waiting=(flood,)))
         waiting = asyncio.ensure_future(self.router.acquire(self.call(0)))
         await asyncio.sleep(0)
         self.router.release(slots[0], Outcome(OutcomeStatus.CANCELLED, 0.1))
@@ -107,10 +116,72 @@
 
     async def test_restarted_upstream_starts_anew(self):
         """Guards against a restart under the same id that inherits failures."""
-        self.router.take_news(
-            news(reports=(UpstreamReport("i-1", 900, True),)), full=False
-        )
+        self.router.load.take(load(reports=(UpstreamReport("i-1", 900, 0, 1),)))
         self.router.apply_upstreams(
             [builders.listed("i-1", started_ms=9), builders.listed("i-2")]
         )
         self.assertIn("i-1", {await self.chosen() for _ in range(40)})
+
+
+class OwnShareTest(unittest.IsolatedAsyncioTestCase):
+    """A relay's sums count the gateway that reads them."""
+
+    def setUp(self):
+        self.clock = builders.ManualClock()
+        self.router = builders.router(self.clock, "i-1")
+        self.router.load.use_relay("relay")
+
+    async def take_slot(self):
+        return await self.router.acquire(builders.call(self.clock))
+
+    def in_flight(self):
+        return self.router.snapshot().upstreams[0].in_flight
+
+    async def test_own_calls_count_once(self):
+        """Guards against an upstream that looks full of the gateway's own calls."""
+        await self.take_slot()
+        self.router.load.compose(1)
+        self.router.load.note_received("relay", 1)
+        self.router.load.take(busy(1))
+        self.assertEqual(self.in_flight(), 1)
+
+    async def test_calls_that_the_relay_does_not_count_yet_are_added(self):
+        """Guards against calls that are forgotten while the relay's sum is older."""
+        await self.take_slot()
+        self.router.load.compose(1)
+        self.router.load.note_received("relay", 1)
+        self.router.load.take(busy(1))
+        await self.take_slot()
+        self.assertEqual(self.in_flight(), 2)
+
+    async def test_another_relay_starts_without_own_calls(self):
+        """Guards against own calls taken off a sum that does not hold them."""
+        await self.take_slot()
+        self.router.load.compose(1)
+        self.router.load.note_received("relay", 1)
+        self.router.load.use_relay("next")
+        self.router.load.take(busy(1)._replace(relay="next"))
+        self.assertEqual(self.in_flight(), 2)
+
+    async def test_silent_relay_takes_its_confirmation_along(self):
+        """Guards against own calls taken off after the sum was dropped."""
+        await self.take_slot()
+        self.router.load.compose(1)
+        self.router.load.note_received("relay", 1)
+        self.router.load.take(busy(1))
+        self.clock.now += FORGET_RELAY_S + 0.1
+        self.router.load.forget_silent()
+        self.assertEqual(self.in_flight(), 1)
+
+    async def test_own_failures_count_once(self):
+        """Guards against failures that count twice when the relay tells them back."""
+        slot = await self.take_slot()
+        self.router.release(slot, Outcome(OutcomeStatus.FAILED, 0.1))
+        pace = slot.state.pace
+        before = pace.error_rate(self.clock.now)
+        fields = self.router.load.compose(1)
+        self.router.load.note_received("relay", 1)
+        self.router.load.take(load(reports=fields["reports"]))
+        self.assertEqual(pace.error_rate(self.clock.now), before)
+        self.router.load.take(load(reports=fields["reports"]))
+        self.assertGreater(pace.error_rate(self.clock.now), before)
