Count a gateway as heard whenever its connection brings something

Found by reading the log; the test fails without the change.

News without a new revision also name the revision that they start from.

--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -171,11 +171,9 @@
 
     def _note_own_change(self, revision: int) -> None:
         """Tell of a revision in the next news, which start at what is known so far."""
-        if revision <= self._revision:
-            return
-        if not self._untold:
+        if not (self._untold or self._changed or self._text_changed):
             self._told_revision = self._revision
-            self._untold = True
+        self._untold = self._untold or revision > self._revision
         self._note_revision(revision)
 
     def _note_revision(self, revision: int) -> None:
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -256,6 +256,7 @@
         try:
             while (envelopes := await connection.receive()) is not None:
                 self._heard_at[hello.peer_id] = self._clock.monotonic()
+                self._roster.note_heard(hello.peer_id, hello.incarnation, leaving=False)
                 for envelope in envelopes:
                     self._handle(connection, envelope.message)
         except (OSError, MeshError):
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -7,6 +7,7 @@
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.mesh.messages import InFlight, Table
 from dogwoodshed._internal.mesh.overlay import Overlay
+from dogwoodshed._internal.mesh.roster import DEAD_AFTER_S
 from dogwoodshed._internal.settings import Settings
 from tests.lib.fleet_builders import CountingMetrics
 
@@ -130,6 +131,19 @@
         self.set_calls("g5", 0)
         await self.until(lambda: self.all_see(15))
 
+    async def test_quiet_fleet_keeps_its_members(self):
+        """Guards against gateways that count as dead while nothing changes.
+
+        Found in the log of pareja-gw trouble-1: relays heard of their gateways only
+        when these joined, and counted them as silent every few seconds.
+        """
+        await self.joined()
+        changes = []
+        for name, overlay in self.overlays.items():
+            overlay.roster.subscribe(lambda name=name: changes.append(name))
+        await asyncio.sleep(2 * DEAD_AFTER_S)
+        self.assertEqual(changes, [])
+
     async def test_load_survives_the_loss_of_a_relay(self):
         """Guards against sums that hold a lost relay, or miss its gateways."""
         await self.joined()
