End the stand-ins of a test class whose set-up fails

Cause: unittest runs no tearDownClass after a failed setUpClass, so that the platform and upstream stand-ins went on and kept the output of the run open; a run whose gateways did not start never came back to its reader. Class clean-ups run in both cases (scratch case with invalid settings: no stand-in is left).

--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -112,17 +112,16 @@
 
     @classmethod
     def setUpClass(cls):
+        # A set-up that fails must not leave stand-ins running: they keep the output of
+        # the test run open, so that whoever reads it waits for ever.
         cls.runner = asyncio.Runner()
+        cls.addClassCleanup(cls.runner.close)
+        cls.fleet = Fleet()
+        cls.addClassCleanup(lambda: cls.runner.run(cls.fleet.stop()))
         cls.runner.run(cls._start())
 
-    @classmethod
-    def tearDownClass(cls):
-        cls.runner.run(cls.fleet.stop())
-        cls.runner.close()
-
     @classmethod
     async def _start(cls):
-        cls.fleet = Fleet()
         cls.upstream = RawServer()
         await cls.upstream.start()
         await cls.fleet.start_platform()
