--- a/src/dogwoodshed/_internal/mesh/load_exchange.py
+++ b/src/dogwoodshed/_internal/mesh/load_exchange.py
@@ -80,7 +80,8 @@
         self._clock = clock
         self._source: LoadSource | None = None
         self._sum = LoadSum((HOSTS, RELAYS))
-        self._audiences = (_Audience(HOSTS, 0.0), _Audience(RELAYS, REMOTE_GATHER_S))
+        self._hosts = _Audience(HOSTS, 0.0)
+        self._relays = _Audience(RELAYS, REMOTE_GATHER_S)
         self._relay = ""
         # Numbers of own messages to the relay, and of sums told to others.
         self._host_sequence = 0
@@ -98,7 +99,8 @@
 
     def add_peer(self, *, remote: bool) -> None:
         """Tell a new peer everything."""
-        self._audiences[remote].start_anew()
+        audience = self._relays if remote else self._hosts
+        audience.start_anew()
 
     def drop_peer(self, peer_id: str) -> None:
         """Forget the load of a peer whose connection ended."""
@@ -108,7 +110,7 @@
     def take_host(self, peer_id: str, load: HostLoad) -> None:
         """Take the load of a gateway that uses this one as its relay."""
         if peer_id not in self._received:
-            self._audiences[0].start_anew()
+            self._hosts.start_anew()
         self._received[peer_id] = load.sequence
         self._roster.note_reader(peer_id, failing=load.directory_failing)
         self._sum.note(peer_id, load)
@@ -126,7 +128,7 @@
             self._note_readers(load)
             self._source.take_load(load)
             if self._received:
-                self._audiences[0].forwards.append(load)
+                self._hosts.forwards.append(load)
 
     def take_received(self, peer_id: str, message: LoadReceived) -> None:
         """Note which own messages the next sum counts."""
@@ -166,7 +168,10 @@
             connections[self._relay].send(self._own_load())
         if not serves:
             return False
-        held = [self._tell(audience, connections, now) for audience in self._audiences]
+        held = [
+            self._tell(audience, connections, now)
+            for audience in (self._hosts, self._relays)
+        ]
         return any(held)
 
     def _use_relay(self, relay: str, connections: Mapping[str, Connection]) -> None:
@@ -210,18 +215,29 @@
         data = encode(FleetLoad((load, *audience.forwards)))
         audience.forwards = []
         audience.sent_at = now
-        if audience.name == HOSTS:
-            for host, sequence in self._received.items():
-                connections[host].send(LoadReceived(sequence))
-                connections[host].send_encoded_load(data)
-            self._source.note_received(self._own.peer_id, self._host_sequence)
-            self._source.take_load(load)
+        if audience is self._hosts:
+            self._send_to_hosts(load, data, connections)
         else:
-            for connection in connections.values():
-                if connection.hello.data_centre != self._own.data_centre:
-                    connection.send_encoded_load(data)
+            self._send_to_relays(data, connections)
         return False
 
+    def _send_to_hosts(
+        self, load: CentreLoad, data: bytes, connections: Mapping[str, Connection]
+    ) -> None:
+        """Tell the hosts, this gateway included, which of their messages count."""
+        for host, sequence in self._received.items():
+            connections[host].send(LoadReceived(sequence))
+            connections[host].send_encoded_load(data)
+        self._source.note_received(self._own.peer_id, self._host_sequence)
+        self._source.take_load(load)
+
+    def _send_to_relays(
+        self, data: bytes, connections: Mapping[str, Connection]
+    ) -> None:
+        for connection in connections.values():
+            if connection.hello.data_centre != self._own.data_centre:
+                connection.send_encoded_load(data)
+
     def _next_load(
         self,
         audience: _Audience,
