--- a/src/dogwoodshed/_internal/mesh/load_exchange.py
+++ b/src/dogwoodshed/_internal/mesh/load_exchange.py
@@ -89,7 +89,8 @@
         self._told_at = float("-inf")
         # The last message of each gateway that this one serves.
         self._received: dict[str, int] = {}
-        self._seen: dict[str, tuple[int, int]] = {}
+        # By relay and incarnation, since numbers start anew after a restart.
+        self._seen: dict[tuple[str, int], int] = {}
         self._members: dict[str, tuple[Member, ...]] = {}
         self._heard_at: dict[str, float] = {}
 
@@ -119,11 +120,11 @@
         """Take sums from another relay, or from the own one."""
         now = self._clock.monotonic()
         for load in message.loads:
-            number = load.incarnation, load.sequence
+            run = load.relay, load.incarnation
             own = load.relay == self._own.peer_id
-            if own or number <= self._seen.get(load.relay, (0, 0)):
+            if own or load.sequence <= self._seen.get(run, 0):
                 continue
-            self._seen[load.relay] = number
+            self._seen[run] = load.sequence
             self._note_members(load, now)
             self._note_readers(load)
             self._source.take_load(load)
--- a/src/dogwoodshed/_internal/mesh/news_flood.py
+++ b/src/dogwoodshed/_internal/mesh/news_flood.py
@@ -17,7 +17,9 @@
         self._own = own
         self._is_remote = is_remote
         self._sequence = 0
-        self._seen: dict[str, tuple[int, int]] = {}
+        # By origin and incarnation: after a restart numbers start anew, and the new
+        # incarnation is lower if the time of day was set back.
+        self._seen: dict[tuple[str, int], int] = {}
         self._pending: dict[str, list[News]] = {}
 
     def add_peer(self, peer_id: str) -> None:
@@ -39,10 +41,10 @@
         """Pass news of a peer on; return whether they are new."""
         if news.origin == self._own.peer_id:
             return False
-        number = news.incarnation, news.sequence
-        if number <= self._seen.get(news.origin, (0, 0)):
+        run = news.origin, news.incarnation
+        if news.sequence <= self._seen.get(run, 0):
             return False
-        self._seen[news.origin] = number
+        self._seen[run] = news.sequence
         from_remote = self._is_remote(peer_id)
         for other, pending in self._pending.items():
             if other in (peer_id, news.origin):
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -105,10 +105,20 @@
         known = self._members.get(member.id)
         if member.id == self._own.id:
             return
-        if known is None or known.incarnation < member.incarnation:
+        # The time of day may have gone back, and a restarted gateway then has a lower
+        # number than the run before it, which is not heard any more.
+        if (
+            known is None
+            or known.incarnation < member.incarnation
+            or (known.incarnation > member.incarnation and not self._is_heard(known.id))
+        ):
             self._members[member.id] = member
             self._failing_readers.discard(member.id)
 
+    def _is_heard(self, member_id: str) -> bool:
+        heard_at = self._heard_at.get(member_id, float("-inf"))
+        return self._clock.monotonic() - heard_at < DEAD_AFTER_S
+
     def note_heard(self, member_id: str, incarnation: int, *, leaving: bool) -> None:
         """Note news of a gateway."""
         member = self._members.get(member_id)
@@ -117,7 +127,7 @@
         now = self._clock.monotonic()
         if leaving:
             self._leaving[member_id] = incarnation
-        was_live = now - self._heard_at.get(member_id, float("-inf")) < DEAD_AFTER_S
+        was_live = self._is_heard(member_id)
         self._heard_at[member_id] = now
         if not was_live or leaving or member not in self._live:
             self.refresh()
@@ -140,15 +150,11 @@
 
     def refresh(self) -> None:
         """Derive the live gateways; tell listeners of a change."""
-        now = self._clock.monotonic()
         live = [
             member
             for member in self._members.values()
             if self._leaving.get(member.id) != member.incarnation
-            and (
-                member.id == self._own.id
-                or now - self._heard_at.get(member.id, float("-inf")) < DEAD_AFTER_S
-            )
+            and (member.id == self._own.id or self._is_heard(member.id))
         ]
         live.sort(key=_relay_order)
         found = tuple(live)
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -78,3 +78,18 @@
         self.hear(member("c", "lima-a", 2), member("d", "lima-a", 3))
         self.roster.note_unreachable("c")
         self.assertEqual(self.roster.wanted_peers()[0].id, "d")
+
+    def test_restart_after_the_clock_went_back_is_a_member(self):
+        """Guards against a gateway that stays unknown because its number is lower."""
+        self.hear(member("c", "lima-a", 8))
+        self.clock.now += DEAD_AFTER_S + 0.1
+        self.roster.refresh()
+        again = member("c", "lima-a", 2)
+        self.hear(again)
+        self.assertIn(again, self.roster.live)
+
+    def test_live_gateway_is_not_replaced_by_its_predecessor(self):
+        """Guards against a list of members that is older than the restart."""
+        self.hear(member("c", "lima-a", 8))
+        self.hear(member("c", "lima-a", 2))
+        self.assertIn(member("c", "lima-a", 8), self.roster.live)
