--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -1,6 +1,7 @@
 """Keep a pool of connections to each upstream."""
 
 import asyncio
+import errno
 import functools
 from collections.abc import Callable
 
@@ -54,9 +55,10 @@
 class _Connector(aiohttp.TCPConnector):
     """Reuse only connections on which nothing came after the last answer."""
 
-    def __init__(self, id_header: str | None, **options) -> None:
+    def __init__(self, id_header: str | None, settle: float, **options) -> None:
         super().__init__(**options)
         self.id_header = id_header
+        self._settle = settle
         # The library has no public way to set its protocol class;
         # tests/functional/test_late_answers.py fails if this one goes.
         self._factory = functools.partial(_MatchingHandler, loop=self._loop)
@@ -68,6 +70,21 @@
             connection.close()
         return None
 
+    async def _create_connection(self, req, traces, timeout):
+        """Open a connection; raise ClientConnectorError if it is reset at once.
+
+        An upstream with too many connections resets further ones right after the
+        handshake. A request that was sent meanwhile may have run, for all that anybody
+        can tell; before it is sent, the call can still go elsewhere.
+        """
+        protocol = await super()._create_connection(req, traces, timeout)
+        if self._settle:
+            await asyncio.sleep(self._settle)
+            if not protocol.is_connected():
+                reset = ConnectionResetError(errno.ECONNRESET, "reset when opened")
+                raise aiohttp.ClientConnectorError(req.connection_key, reset)
+        return protocol
+
     @property
     def has_idle(self) -> bool:
         # There is no public count; tests/unit/test_connections.py fails without this.
@@ -164,6 +181,7 @@
         session = aiohttp.ClientSession(
             connector=_Connector(
                 self._names.request_id,
+                self._limits.connection_settle_s,
                 limit=self._limit,
                 keepalive_timeout=self._limits.idle_timeout_s,
                 use_dns_cache=False,
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -126,6 +126,8 @@
     queue_length: Annotated[int, Meta(ge=1)] = 10_000
     progress_timeout_s: Annotated[float, Meta(gt=0)] = 5.0
     connect_timeout_s: Annotated[float, Meta(gt=0)] = 1.0
+    # A new connection that is reset within this time has carried no request.
+    connection_settle_s: Annotated[float, Meta(ge=0)] = 0.0
     # How long a stopping gateway takes new connections, until balancers noticed.
     stop_linger_s: Annotated[float, Meta(ge=0)] = 0.0
     # Idle upstream connections are closed before the upstream would do so.
