Wait for the peers in the test of a restarted gateway, and bound the other case

Cause: readers gather changes for 0.25 s after an answer, and since a process starts in 0.3 s it may take a peer's table from before the change. The users allow 2 s after the store's answer, so the case is allowed; the test passed before only because a start took longer.

The test now waits until the peers serve the new route and then expects it at once, and a second test holds a start beside the change to the 2 s.

--- a/tests/functional/test_fleet_gateway.py
+++ b/tests/functional/test_fleet_gateway.py
@@ -9,6 +9,8 @@
 from tests.lib.deployment import ROUTES, Deployment, route
 
 BOUND_S = 60.0
+# The users' bound between the store's answer and the use of a configuration.
+CONFIGURATION_BOUND_S = 2.0
 
 
 class FleetCase(unittest.IsolatedAsyncioTestCase):
@@ -243,6 +245,26 @@
         gateway = self.fleet.gateways[2]
         await gateway.stop()
         await self.fleet.configure(*ROUTES, route("new", "/new/"))
+        for peer in (0, 1):
+            await self.until_new_route(peer)
         await gateway.start()
         await gateway.wait_ready()
         self.assertEqual((await self.fleet.call("/new/a", gateway=2)).status, 200)
+
+    async def test_gateway_that_starts_beside_a_change_takes_it_in_time(self):
+        """Guards against a start with a peer's older table that is never made up."""
+        gateway = self.fleet.gateways[2]
+        await gateway.stop()
+        await self.fleet.configure(*ROUTES, route("new", "/new/"))
+        changed_at = asyncio.get_running_loop().time()
+        await gateway.start()
+        await gateway.wait_ready()
+        await self.until_new_route(2)
+        took = asyncio.get_running_loop().time() - changed_at
+        self.assertLessEqual(took, CONFIGURATION_BOUND_S)
+
+    async def until_new_route(self, gateway):
+        """Wait until a gateway serves the route that was added."""
+        async with asyncio.timeout(BOUND_S):
+            while (await self.fleet.call("/new/a", gateway=gateway)).status != 200:
+                await asyncio.sleep(0.02)
