Tell callers of refused calls to return at once, and keep budget for their last try

The fleet's budget was spent on first tries, and their callers waited 0.1 to 0.3 s before the one retry that they have. Ruled out: queueing (queued_ms below 2) and stale views (reports below 100 ms old).

Now a refusal by an upstream asks the caller back within 40 ms, a first try may spend seven tenths of the budget, and nine tenths of the users' budget are used instead of three quarters.

--- a/src/dogwoodshed/_internal/proxy/problems.py
+++ b/src/dogwoodshed/_internal/proxy/problems.py
@@ -2,8 +2,9 @@
 
 import json
 import random
+from functools import singledispatch
 
-from dogwoodshed._internal.exceptions import CallError
+from dogwoodshed._internal.exceptions import CallError, UpstreamRefusedError
 from dogwoodshed._internal.proxy import headers
 from dogwoodshed._internal.proxy.responses import WholeResponse
 
@@ -12,6 +13,24 @@
 # for at most a third of what they have left, which is often below half a second.
 RETRY_AFTER_LEAST_S = 0.1
 RETRY_AFTER_MOST_S = 0.3
+# An upstream that refuses a call while none waits here refuses only some, and another
+# try mostly reaches one that takes it; the time that work takes is of this order.
+RETRY_REFUSED_LEAST_S = 0.0
+RETRY_REFUSED_MOST_S = 0.04
+
+
+@singledispatch
+def retry_delay(error: CallError) -> float:
+    """Return after how many seconds a caller should try again.
+
+    Delays are spread, so that callers refused together do not return together.
+    """
+    return random.uniform(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S)
+
+
+@retry_delay.register
+def _(error: UpstreamRefusedError) -> float:
+    return random.uniform(RETRY_REFUSED_LEAST_S, RETRY_REFUSED_MOST_S)
 
 
 def problem_response(error: CallError) -> WholeResponse:
@@ -25,9 +44,7 @@
     }
     response_headers = {headers.RAN: error.ran}
     if error.status in _RETRY_STATUSES:
-        # Spread, so that callers that were refused together do not return together.
-        delay = random.uniform(RETRY_AFTER_LEAST_S, RETRY_AFTER_MOST_S)
-        response_headers["Retry-After"] = f"{delay:.2f}"
+        response_headers["Retry-After"] = f"{retry_delay(error):.2f}"
     return WholeResponse(
         status=error.status,
         body=json.dumps(body).encode(),
--- a/src/dogwoodshed/_internal/retries/fleet.py
+++ b/src/dogwoodshed/_internal/retries/fleet.py
@@ -9,8 +9,12 @@
 from dogwoodshed._internal.retries.window import WindowCount
 from dogwoodshed._internal.settings import RetrySettings
 
-# Gateways count in windows of their own, which do not end together.
-BUDGET_USED = 0.75
+# Gateways count in windows of their own, which do not end together, and a restarted one
+# has forgotten what it spent.
+BUDGET_USED = 0.9
+# The caller of a refused first try comes back and is a first arrival again; one that
+# came back before is lost, so that first tries leave a part of the budget.
+FIRST_TRY_SHARE = 0.7
 # Nine calls in ten on an unburdened upstream end within this many service times.
 HEDGE_SERVICE_TIMES = 1.45
 # What a hedge itself needs to be in time, and the earliest that one is worth its load.
@@ -55,7 +59,10 @@
         counts = self._of(call)
         now = self._clock.monotonic()
         share = self._settings.ratio * BUDGET_USED * counts.calls.total(now)
-        return counts.extra.total(now) + 1 <= share + self._reserve
+        allowed = share + self._reserve
+        if not call.returning:
+            allowed *= FIRST_TRY_SHARE
+        return counts.extra.total(now) + 1 <= allowed
 
     def take(self, call: Call) -> bool:
         """Spend one arrival if it is allowed."""
