Draw for free slots while many calls wait, and take one of the best at random

Ruled out: slow machines chosen knowingly (median slowness of those calls 1.28 at the choice).

Now a slot that a gateway's own call frees goes to a call that waits there; where more calls wait elsewhere than slots are free, a gateway draws; the call takes one of the best slots at random. Unit tests failed before with 40 of 40 gateways taking one slot, and 20 of 20 calls on one upstream.

The log says 'unreported' for an upstream without a report; it said an age of years.

--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -1,5 +1,6 @@
 """Estimate how long a call would take on each upstream."""
 
+import itertools
 import random
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -65,7 +66,7 @@
 
     def __init__(self) -> None:
         self._slowness: float | None = None
-        self._slowness_at = 0.0
+        self._slowness_at = float("-inf")
         self._error_rate = 0.0
         self._error_at = 0.0
 
@@ -149,7 +150,7 @@
 
 
 class Placement(NamedTuple):
-    """The best upstream for a call, and whether it has a free slot."""
+    """The upstream for a call, and whether it has a free slot."""
 
     id: str
     free: bool
@@ -159,6 +160,17 @@
     slowness: float
     in_flight: int
     age: float
+    # Free slots of all upstreams, as far as they are known.
+    spare: int = 0
+
+
+class _Priced(NamedTuple):
+    """A candidate with its cost and the slots that it has free."""
+
+    cost: float
+    expected: float
+    free: int
+    candidate: Candidate
 
 
 def expected_time(candidate: Candidate, work: float) -> float:
@@ -174,29 +186,58 @@
 
 
 def place(
-    candidates: Iterable[Candidate], work: float, generator: random.Random
+    candidates: Iterable[Candidate],
+    work: float,
+    generator: random.Random,
+    rivals: int = 0.0,
 ) -> Placement | None:
-    """Choose the upstream with the lowest cost for a call."""
-    best: Placement | None = None
-    lowest = float("inf")
-    for candidate in candidates:
-        expected = expected_time(candidate, work)
-        penalties = (
-            REMOTE_SERVICE_TIMES * candidate.remote
-            + NEW_CONNECTION_SERVICE_TIMES * (not candidate.connected)
-            + ABSENT_SERVICE_TIMES * candidate.absent
-            + FAILURE_SERVICE_TIMES * candidate.error_rate
-        )
-        cost = (expected + penalties * work) * (1 + JITTER * generator.random())
-        if cost < lowest:
-            lowest = cost
-            free = candidate.in_flight < candidate.slots
-            best = Placement(
-                candidate.id,
-                free,
-                expected,
-                candidate.slowness,
-                candidate.in_flight,
-                candidate.age,
-            )
-    return best
+    """Choose the upstream with the lowest cost for a call, or one of the lowest.
+
+    `rivals` is how many calls other gateways place before this gateway hears of them.
+    Together they would fill the best slots, so that the call takes one of as many at
+    random; with the same view they would otherwise all choose the best upstream.
+    """
+    priced = [_price(candidate, work, generator) for candidate in candidates]
+    if not priced:
+        return None
+    chosen = _spread(priced, rivals, generator)
+    candidate = chosen.candidate
+    return Placement(
+        candidate.id,
+        chosen.free > 0,
+        chosen.expected,
+        candidate.slowness,
+        candidate.in_flight,
+        candidate.age,
+        sum(item.free for item in priced),
+    )
+
+
+def _price(candidate: Candidate, work: float, generator: random.Random) -> _Priced:
+    expected = expected_time(candidate, work)
+    penalties = (
+        REMOTE_SERVICE_TIMES * candidate.remote
+        + NEW_CONNECTION_SERVICE_TIMES * (not candidate.connected)
+        + ABSENT_SERVICE_TIMES * candidate.absent
+        + FAILURE_SERVICE_TIMES * candidate.error_rate
+    )
+    cost = (expected + penalties * work) * (1 + JITTER * generator.random())
+    free = max(0, candidate.slots - candidate.in_flight)
+    return _Priced(cost, expected, free, candidate)
+
+
+def _spread(priced: list[_Priced], rivals: float, generator: random.Random) -> _Priced:
+    """Choose among the best slots, one for this call and one for each rival."""
+    if not rivals:
+        return min(priced, key=lambda item: item.cost)
+    ranked = sorted(priced, key=lambda item: item.cost)
+    # Waiting for a slot of a full upstream costs less than the free ones after it.
+    worth = list(itertools.takewhile(lambda item: item.free, ranked))
+    if not worth:
+        return ranked[0]
+    position = generator.random() * min(1 + rivals, sum(item.free for item in worth))
+    for item in worth:
+        position -= item.free
+        if position < 0:
+            return item
+    return worth[-1]
--- a/src/dogwoodshed/_internal/routing/shared.py
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -46,6 +46,10 @@
 
 # Queued calls look again this often, since upstreams free slots for other gateways too.
 LOOK_AGAIN_S = 0.01
+# A call is known in the own data centre after two messages, gathered for 25 to 55 ms.
+VIEW_LAG_S = 0.05
+# Of the looks before others hear of a call, one may find a slot that is still free.
+LOOK_SHARE = LOOK_AGAIN_S / VIEW_LAG_S
 
 
 class SharedContext(NamedTuple):
@@ -141,7 +145,11 @@
         if placement is None:
             raise NoUpstreamError(call.service.name)
         pool.note_work(pool.call_work(call))
-        if placement.free and not pool.queue.waiting_up_to(call.rank):
+        if (
+            placement.free
+            and not pool.queue.waiting_up_to(call.rank)
+            and self._wins(pool, call, placement, 1.0)
+        ):
             return self._take(pool, call, placement)
         self._refuse_early(pool, call, now)
         return await self._wait(pool, call, exclude)
@@ -184,7 +192,8 @@
         self._learn(pool, state, outcome, now)
         if outcome.status is OutcomeStatus.ANSWERED:
             pool.learn_time(slot, outcome)
-        self._serve(pool)
+        # Others do not know of this slot yet: it goes to a call that waits here.
+        self._serve(pool, certain=1)
 
     def _learn(
         self, pool: ServicePool, state: UpstreamState, outcome: Outcome, now: float
@@ -219,7 +228,20 @@
         candidates = pool.candidates(
             exclude, context.data_centre, context.has_connection, now
         )
-        return place(candidates, work, self._random)
+        return place(candidates, work, self._random, pool.count_rivals(call.rank))
+
+    def _wins(
+        self, pool: ServicePool, call: Call, placement: Placement, share: float
+    ) -> bool:
+        """Draw whether this call takes a free slot when too few are free.
+
+        All gateways with waiting calls see the same free slots. If each took one, a
+        slot that frees would get a call from every gateway.
+        """
+        rivals = pool.count_rivals(call.rank)
+        if rivals < placement.spare:
+            return True
+        return self._random.random() < share * placement.spare / (1 + rivals)
 
     def _refuse_early(self, pool: ServicePool, call: Call, now: float) -> None:
         pressure = pool.pressure(call, now)
@@ -230,8 +252,8 @@
                 f" at {pressure.capacity:.0f}/s"
             )
 
-    def _serve(self, pool: ServicePool) -> None:
-        """Give free slots to queued calls."""
+    def _serve(self, pool: ServicePool, certain: int = 0) -> None:
+        """Give free slots to queued calls, some of them for certain."""
         if not pool.queue:
             return
         now = self._clock.monotonic()
@@ -243,6 +265,10 @@
                 if waiter.exclude:
                     continue
                 break
+            if certain:
+                certain -= 1
+            elif not self._wins(pool, waiter.call, placement, LOOK_SHARE):
+                break
             pool.queue.remove(waiter)
             if not waiter.token.done():
                 waiter.token.set_result(self._take(pool, waiter.call, placement))
--- a/src/dogwoodshed/_internal/routing/shared_pool.py
+++ b/src/dogwoodshed/_internal/routing/shared_pool.py
@@ -1,6 +1,7 @@
 """Hold what a gateway knows of a service's upstreams and of its waiting calls."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 from dogwoodshed._internal.admission.on_time import OnTimeQueue, Pressure
@@ -32,6 +33,8 @@
 UNREACHABLE_BACKOFF_MOST_S = 1.0
 # The view of other gateways' calls lags, so that some slots stand idle for a moment.
 CAPACITY_USED = 0.9
+# Up to this share of the slots, waiting calls of several gateways seldom clash.
+CLASH_FREE_SHARE = 0.25
 # The mean service time follows the mix of kinds within about a hundred calls.
 MIX_WEIGHT = 0.02
 
@@ -49,10 +52,10 @@
         self.kind = call.kind
         # Calls in flight there, this one included.
         self.level = placement.in_flight + 1
-        self._reason = (
-            f"x{placement.slowness:.2f} {placement.in_flight}busy"
-            f" {placement.age * 1000:.0f}ms-old"
-        )
+        age = "unreported"
+        if math.isfinite(placement.age):
+            age = f"{placement.age * 1000:.0f}ms-old"
+        self._reason = f"x{placement.slowness:.2f} {placement.in_flight}busy {age}"
 
     def reason(self) -> str:
         """Tell the slowness, the load and the age of the report that decided."""
@@ -163,6 +166,18 @@
         elsewhere = max(0, told - sum(self.waiting_counted[: rank + 1]))
         return self.queue.waiting_up_to(rank) + elsewhere
 
+    def count_rivals(self, rank: int) -> int:
+        """Count other gateways' waiting calls that clash with one of a rank.
+
+        A few in a large service find enough slots between them. With them counted as
+        well, corrib-gw scale-1 answered 7% fewer price lookups in time.
+        """
+        waiting = self.count_waiting(rank) - self.queue.waiting_up_to(rank)
+        if not waiting:
+            return 0
+        slots = sum(self.limit(state) for state in self.states.values())
+        return max(0, waiting - int(CLASH_FREE_SHARE * slots))
+
     def note_work(self, work: float) -> None:
         """Count a call with its usual service time."""
         if self.mean_work is None:
--- a/tests/unit/test_placement.py
+++ b/tests/unit/test_placement.py
@@ -1,5 +1,6 @@
 """Test on which upstream a call is placed."""
 
+import collections
 import random
 import unittest
 
@@ -62,6 +63,33 @@
         """Guards against gateways with one view that all choose one upstream."""
         self.assertEqual(len(self.chosen(candidate("i-1"), candidate("i-2"))), 2)
 
+    def test_gateways_with_one_view_spread_over_the_best_slots(self):
+        """Guards against a herd on the one upstream that looks best.
+
+        Found on corrib-gw-grown scale-1: twenty calls reached an upstream of six slots
+        within a tenth of a second, each on a view that showed three.
+        """
+        upstreams = [candidate(f"i-{n}", slots=4, slowness=1.3) for n in range(10)]
+        upstreams[3] = upstreams[3]._replace(slowness=1.0)
+        slow = candidate("i-11", slots=4, slowness=7.0)
+        generator = random.Random(1)
+        chosen = collections.Counter(
+            place([*upstreams, slow], WORK_S, generator, rivals=19).id
+            for _ in range(20)
+        )
+        self.assertLessEqual(max(chosen.values()), 8)
+        self.assertNotIn("i-11", chosen)
+
+    def test_few_free_slots_are_shared_by_their_number(self):
+        """Guards against an upstream with one free slot that gets half of a herd."""
+        wide = candidate("i-1", slots=8, slowness=1.2)
+        narrow = candidate("i-2", slots=8, in_flight=7)
+        generator = random.Random(1)
+        chosen = [
+            place([wide, narrow], WORK_S, generator, rivals=30).id for _ in range(90)
+        ]
+        self.assertLess(chosen.count("i-2"), 25)
+
     def test_expected_time_grows_with_the_queue(self):
         """Guards against an estimate that ignores who stands before."""
         times = [expected_time(candidate(in_flight=n), WORK_S) for n in (1, 2, 4)]
--- a/tests/unit/test_shared_router.py
+++ b/tests/unit/test_shared_router.py
@@ -72,6 +72,27 @@
         slot = await waiting
         self.assertEqual(slot.upstream.id, slots[0].upstream.id)
 
+    async def test_gateways_with_waiting_calls_do_not_all_take_one_slot(self):
+        """Guards against a slot that frees and gets a call from every gateway.
+
+        Found on corrib-gw-grown scale-1, during the burst of cut orders.
+        """
+        placed = 0
+        for _ in range(40):
+            router = builders.router(self.clock, "i-1", "i-2")
+            full = (InFlight("i-1", 2), InFlight("i-2", 2))
+            waits = (Waiting("profiles", (0, 9, 0)),)
+            router.load.take(load(in_flight=full, waiting=waits))
+            call = self.call(deadline=self.clock.now + 9)
+            call.note_waited_before(0.1)
+            waiting = asyncio.ensure_future(router.acquire(call))
+            await asyncio.sleep(0)
+            router.load.take(load(in_flight=(InFlight("i-1", 1),)))
+            await asyncio.sleep(0.03)
+            placed += waiting.done() and waiting.exception() is None
+            waiting.cancel()
+        self.assertLessEqual(placed, 8)
+
     async def test_caller_that_leaves_while_waiting_takes_no_slot(self):
         """Guards against work for callers who are gone."""
         slots = [await self.router.acquire(self.call()) for _ in range(4)]
@@ -83,6 +104,16 @@
             self.router.release(slot, Outcome(OutcomeStatus.CANCELLED, 0.1))
         self.assertEqual(self.router.load.compose(1)["in_flight"], ())
 
+    async def test_log_says_that_an_upstream_was_never_reported(self):
+        """Guards against an age of years in the line of a call."""
+        slot = await self.router.acquire(self.call())
+        self.assertIn("unreported", slot.reason())
+        report = LoadReport(1, 2, slowness=1.0)
+        self.router.release(slot, Outcome(OutcomeStatus.ANSWERED, 0.1, report))
+        self.clock.now += 0.02
+        reasons = [(await self.router.acquire(self.call())).reason() for _ in range(4)]
+        self.assertTrue(any("20ms-old" in reason for reason in reasons), reasons)
+
     async def test_flood_elsewhere_refuses_at_once(self):
         """Guards against calls held at a gateway that knows they cannot be served."""
         for _ in range(4):
