--- a/src/dogwoodshed/_internal/proxy/problems.py
+++ b/src/dogwoodshed/_internal/proxy/problems.py
@@ -13,8 +13,8 @@
 # for at most a third of what they have left, which is often below half a second.
 RETRY_AFTER_LEAST_S = 0.1
 RETRY_AFTER_MOST_S = 0.3
-# An upstream that refuses a call while none waits here refuses only some, and another
-# try mostly reaches one that takes it; the time that work takes is of this order.
+# An upstream that refuses often takes the next call, and the most urgent callers have
+# some 100 ms to spare; the spread keeps those refused together apart.
 RETRY_REFUSED_LEAST_S = 0.0
 RETRY_REFUSED_MOST_S = 0.04
 
--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -189,13 +189,13 @@
     candidates: Iterable[Candidate],
     work: float,
     generator: random.Random,
-    rivals: int = 0.0,
+    rivals: int = 0,
 ) -> Placement | None:
     """Choose the upstream with the lowest cost for a call, or one of the lowest.
 
-    `rivals` is how many calls other gateways place before this gateway hears of them.
-    Together they would fill the best slots, so that the call takes one of as many at
-    random; with the same view they would otherwise all choose the best upstream.
+    `rivals` is how many calls of other gateways wait for the same free slots. With one
+    view all would choose the best upstream; the call takes one of as many of the best
+    slots at random instead.
     """
     priced = [_price(candidate, work, generator) for candidate in candidates]
     if not priced:
@@ -226,7 +226,7 @@
     return _Priced(cost, expected, free, candidate)
 
 
-def _spread(priced: list[_Priced], rivals: float, generator: random.Random) -> _Priced:
+def _spread(priced: list[_Priced], rivals: int, generator: random.Random) -> _Priced:
     """Choose among the best slots, one for this call and one for each rival."""
     if not rivals:
         return min(priced, key=lambda item: item.cost)
--- a/src/dogwoodshed/_internal/routing/shared.py
+++ b/src/dogwoodshed/_internal/routing/shared.py
@@ -148,7 +148,7 @@
         if (
             placement.free
             and not pool.queue.waiting_up_to(call.rank)
-            and self._wins(pool, call, placement, 1.0)
+            and self._draw(pool, call, placement, 1.0)
         ):
             return self._take(pool, call, placement)
         self._refuse_early(pool, call, now)
@@ -230,13 +230,14 @@
         )
         return place(candidates, work, self._random, pool.count_rivals(call.rank))
 
-    def _wins(
+    def _draw(
         self, pool: ServicePool, call: Call, placement: Placement, share: float
     ) -> bool:
-        """Draw whether this call takes a free slot when too few are free.
+        """Tell whether this call takes a free slot; draw when too few are free.
 
         All gateways with waiting calls see the same free slots. If each took one, a
-        slot that frees would get a call from every gateway.
+        slot that frees would get a call from every gateway. `share` spreads the chance
+        of one view over the looks that are taken on it.
         """
         rivals = pool.count_rivals(call.rank)
         if rivals < placement.spare:
@@ -267,7 +268,7 @@
                 break
             if certain:
                 certain -= 1
-            elif not self._wins(pool, waiter.call, placement, LOOK_SHARE):
+            elif not self._draw(pool, waiter.call, placement, LOOK_SHARE):
                 break
             pool.queue.remove(waiter)
             if not waiter.token.done():
