--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -31,6 +31,7 @@
 )
 from dogwoodshed._internal.mesh.news_flood import NewsFlood
 from dogwoodshed._internal.mesh.roster import FleetRoster
+from dogwoodshed._internal.mesh.table_requests import TableRequests
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.settings import Settings, split_address
 
@@ -46,7 +47,6 @@
 SEEK_S = 1.0
 # A connection that is not wanted any more serves its peer until that has another.
 UNWANTED_AFTER_S = 2.0
-TABLE_RETRY_S = 0.5
 
 
 class NewsSource(LoadSource, Protocol):
@@ -108,10 +108,10 @@
         self._dialling: set[str] = set()
         self._news = NewsFlood(self._hello, self._is_remote)
         self._loads = LoadExchange(self._hello, self._roster, clock)
+        self._tables = TableRequests(self._roster, clock, metrics)
         self._flush_timer: asyncio.TimerHandle | None = None
         self._flushed_at = float("-inf")
         self._sought_at = float("-inf")
-        self._table_asked_at = float("-inf")
         self._listener: asyncio.Server | None = None
 
     @property
@@ -137,16 +137,7 @@
 
     def ask_for_table(self) -> None:
         """Ask a peer for everything, because its news show a gap."""
-        now = self._clock.monotonic()
-        if now - self._table_asked_at < TABLE_RETRY_S:
-            return
-        # One peer at a time, since a table of hundreds of upstreams takes a while on a
-        # slow link; gateways of the own data centre are mostly behind as well.
-        peers = [p for p in self._connections if self._is_remote(p)]
-        peers = peers or list(self._connections)
-        if not peers:
-            return
-        self._request_table(self._connections[self._random.choice(peers)])
+        self._tables.close_gap(self._connections)
 
     async def on_start(self) -> None:
         """Listen for peers."""
@@ -336,17 +327,8 @@
         self._dial_wanted(self._clock.monotonic())
         behind = roster.directory_revision > self._source.directory_revision
         self._source.note_progress(roster.directory_revision, roster.directory_age_ms)
-        # A table takes a while on a slow link and has a price between data centres, so
-        # that gateways ask their own relay; a gap that stays is asked about later.
-        relay = self._roster.relay(self._hello.data_centre)
-        from_relay = relay is not None and relay.id == connection.hello.peer_id
-        if behind and (from_relay or self._roster.is_relay):
-            self._request_table(connection)
-
-    def _request_table(self, connection: Connection) -> None:
-        self._table_asked_at = self._clock.monotonic()
-        self._metrics.increment("overlay.table_requests")
-        connection.send(TableRequest())
+        if behind:
+            self._tables.note_ahead(connection)
 
     def _note_told(self, member: Member) -> None:
         self._roster.note_member(member)
