Choose no port twice for gateways that are about to start

Ports were drawn at random before anybody listened on them, by each process for itself; 200 draws of the old function gave 198 to 200 different ports in five trials. Functional tests of the fleet gateway and two features green after it.

--- a/bench/cost.py
+++ b/bench/cost.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup, free_ports
+from dogwoodshed._internal.standins.fleet import Fleet, UpstreamGroup
+from dogwoodshed._internal.standins.ports import free_ports
 from tests.lib import builders
 
 REQUESTS = {
--- a/src/dogwoodshed/_internal/standins/fleet.py
+++ b/src/dogwoodshed/_internal/standins/fleet.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import json
-import random
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Mapping, Sequence
@@ -15,15 +13,13 @@
 import aiohttp
 
 from dogwoodshed._internal.exceptions import StandInError
+from dogwoodshed._internal.standins.ports import free_ports
 from dogwoodshed._internal.standins.upstream import Behaviour
 
 CONFIGURATION_KEY = "dogwoodshed/configuration"
 HOSTS_KEY = "dogwoodshed/hosts"
 START_TIMEOUT_S = 20.0
 POLL_S = 0.02
-# Below the ports that the system gives to outgoing connections, which would take a port
-# between the moment it is chosen and the moment a gateway listens on it.
-PORTS = range(12_000, 32_000)
 
 
 class UpstreamGroup(NamedTuple):
@@ -316,18 +312,3 @@
         url = f"http://{address}/_control"
         async with self._session.post(url, json=order) as response:
             return await response.json()
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that are free at this moment."""
-    ports: list[int] = []
-    candidates = iter(random.sample(PORTS, len(PORTS)))
-    while len(ports) < count:
-        port = next(candidates)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
--- a/tests/features/steps/truth_steps.py
+++ b/tests/features/steps/truth_steps.py
@@ -5,7 +5,7 @@
 
 from behave import given, then, when
 
-from dogwoodshed._internal.standins.fleet import free_ports
+from dogwoodshed._internal.standins.ports import free_ports
 from tests.lib.world import World
 
 STOP_AFTER_S = 1.5
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -3,9 +3,7 @@
 import asyncio
 import json
 import os
-import random
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -14,6 +12,7 @@
 import aiohttp
 
 from dogwoodshed._internal.exceptions import StandInError
+from dogwoodshed._internal.standins.ports import free_ports
 from tests.lib.store_standin import StoreStandIn
 from tests.lib.target_standin import TargetStandIn
 
@@ -21,7 +20,6 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
 START_BOUND_S = 20.0
-PORT_RANGE = (12_000, 32_000)
 
 
 class Reply(NamedTuple):
@@ -32,22 +30,6 @@
     headers: dict[str, str]
 
 
-def free_port() -> int:
-    """Return a port of loopback that nothing listens on.
-
-    Below the range that the system gives to clients, which might take it before the
-    process that it is meant for listens.
-    """
-    while True:
-        port = random.randrange(*PORT_RANGE)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
-
-
 def route(name: str, prefix: str, **changes: Any) -> dict[str, Any]:
     """Build a route of the operator's configuration."""
     return {
@@ -73,7 +55,7 @@
     def __init__(self, name: str, folder: str, zone: str) -> None:
         self.name = name
         self.zone = zone
-        self.port, self.ready_port, self.control_port = (free_port() for _ in range(3))
+        self.port, self.ready_port, self.control_port = free_ports(3)
         self._settings = Path(folder) / f"{name}.jsonc"
         self._log = Path(folder) / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
