Bound responses that an upstream never ends

Cause: interim responses were read until the upstream stopped; a streamed body had only a limit between two bytes, none on its time or size; an idle connection kept parsing whatever arrived on it. Change: limits.max_interim_responses and limits.max_response_bytes; a streamed body of unknown length ends with a reset at the deadline of its call, one of known length when the upstream keeps the caller waiting past it; bytes on an idle connection close it; heads are parsed in parts of 8 KB and skipped late responses are bounded.

--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -241,6 +241,12 @@
     title = "answer cut"
 
 
+class ResponseTooLargeError(OutcomeUnknownError):
+    """Raised when an upstream announces a response body over the limit."""
+
+    title = "answer too large"
+
+
 class InternalError(OutcomeUnknownError):
     """Raised in place of an unexpected exception."""
 
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -220,6 +220,7 @@
             names=self._header_names,
             finish_abandoned=settings.limits.finish_abandoned,
             buffer_unsized=settings.limits.hold_unsized,
+            max_response_bytes=settings.limits.max_response_bytes,
         )
         forwarder = RetryingForwarder(
             self._router,
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -240,6 +240,7 @@
             self._clock,
             self._metrics,
             replace_silent=settings.is_enabled("silent_connections"),
+            max_response_bytes=settings.limits.max_response_bytes,
         )
         self._forwarder = RetryingForwarder(
             router,
--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -11,6 +11,7 @@
 from dogwoodshed._internal.exceptions import (
     CallError,
     DeadlineExpiredInQueueError,
+    ResponseTooLargeError,
     StreamedBodyTooLargeError,
     UnverifiedResponseError,
     UpstreamDisconnectedError,
@@ -35,6 +36,7 @@
     Router,
     Slot,
 )
+from dogwoodshed._internal.settings import LimitSettings
 
 # Responses up to this size are buffered, so that the caller receives a 502 instead of
 # a truncated response.
@@ -128,7 +130,9 @@
         names: HeaderNames = DEFAULT_NAMES,
         finish_abandoned: bool = True,
         buffer_unsized: bool = False,
+        max_response_bytes: int = LimitSettings().max_response_bytes,
     ) -> None:
+        self._max_response_bytes = max_response_bytes
         self._buffer_unsized = buffer_unsized
         self._names = names
         self._finish_abandoned = finish_abandoned
@@ -295,6 +299,9 @@
             raise UnverifiedResponseError(attempt.pool.address)
         response_headers = headers.for_caller(response.headers)
         length = response.content_length
+        if length is not None and length > self._max_response_bytes:
+            response.close()
+            raise ResponseTooLargeError(f"{attempt.pool.address}: {length} bytes")
         if length is None and self._buffer_unsized:
             return await _buffer_unsized_response(response, response_headers)
         if length is not None and length <= MAX_BUFFERED_RESPONSE_BYTES:
--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -4,6 +4,7 @@
 import errno
 import functools
 from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -22,10 +23,17 @@
 # it sent its response. A request must not be sent while the connection is being closed.
 KEEP_ALIVE_MARGIN_S = 1.0
 MIN_KEEP_ALIVE_S = 0.5
+# An upstream that repeats a response sends few copies. More than this, or a longer
+# body, means that it sends responses without end.
+MAX_SKIPPED_RESPONSES = 4
+MAX_SKIPPED_BODY_BYTES = 1024 * 1024
+# Heads are parsed in parts of this size: a read may contain thousands of interim
+# responses, and other calls would wait until all of them are parsed.
+HEAD_PARSE_BYTES = 8192
 
 
 class _MatchingResponseHandler(ResponseHandler):
-    """Skip responses that belong to another request.
+    """Skip responses that belong to another request, up to a limit.
 
     If an upstream sends a response twice, the second copy arrives where the response to
     the next request is expected.
@@ -33,17 +41,63 @@
 
     id_header: str | None = None
     expected_id: str | None = None
+    max_interim_responses = 1
+    # Whether the connection is in the pool, where bytes belong to no request.
+    idle = False
+    _interim_responses = 0
+    _skipped_responses = 0
+
+    def begin_request(self, expected_id: str | None) -> None:
+        """Set which id the response must echo, and reset the limits."""
+        self.expected_id = expected_id
+        self._interim_responses = 0
+        self._skipped_responses = 0
 
     async def read(self):
-        """Return the next response to the current request."""
+        """Return the next response to the current request; raises ClientError."""
         while True:
             message, payload = await super().read()
-            if self.expected_id is None or not message.code >= 200:
+            if message.code < 200:
+                self._interim_responses += 1
+                if self._interim_responses > self.max_interim_responses:
+                    raise aiohttp.ServerDisconnectedError("too many interim responses")
+                return message, payload
+            if self.expected_id is None:
                 return message, payload
             echoed = message.headers.get(self.id_header)
             if echoed is None or echoed == self.expected_id:
                 return message, payload
-            await payload.read()
+            self._skipped_responses += 1
+            if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+                raise aiohttp.ServerDisconnectedError("too many late responses")
+            await _skip_body(payload)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; close a connection on which none are expected."""
+        if not data and not self.idle:
+            # aiohttp continues to parse earlier bytes this way.
+            super().data_received(data)
+        start = 0
+        while start < len(data):
+            if self.idle:
+                self.force_close()
+                if self.transport is not None:
+                    self.transport.abort()
+                return
+            if not self._expects_head:
+                super().data_received(data[start:])
+                return
+            super().data_received(data[start : start + HEAD_PARSE_BYTES])
+            start += HEAD_PARSE_BYTES
+            if len(self) > self.max_interim_responses + MAX_SKIPPED_RESPONSES:
+                # The reader raises an error for these messages. Until then, no more
+                # bytes are read.
+                self.pause_reading()
+                return
+
+    @property
+    def _expects_head(self) -> bool:
+        return self._payload is None or self._payload.is_eof()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """Treat a response without a length as truncated if its connection is reset."""
@@ -56,10 +110,13 @@
 class _Connector(aiohttp.TCPConnector):
     """Reuse only connections on which nothing arrived after the last response."""
 
-    def __init__(self, id_header: str | None, settle_time: float, **options) -> None:
+    def __init__(
+        self, id_header: str | None, limits: LimitSettings, **options: Any
+    ) -> None:
         super().__init__(**options)
         self.id_header = id_header
-        self._settle_time = settle_time
+        self.max_interim_responses = limits.max_interim_responses
+        self._settle_time = limits.connection_settle_s
         # aiohttp has no public way to set its protocol class;
         # tests/unit/test_late_responses.py fails if `_factory` is removed.
         self._factory = functools.partial(_MatchingResponseHandler, loop=self._loop)
@@ -67,10 +124,16 @@
     async def _get(self, key, traces):
         while (connection := await super()._get(key, traces)) is not None:
             if not connection.protocol.should_close:
+                connection.protocol.idle = False
                 return connection
             connection.close()
         return None
 
+    def _release(self, key, protocol, *, should_close: bool = False) -> None:
+        # Set first, since closing a connection may deliver bytes that were received.
+        protocol.idle = True
+        super()._release(key, protocol, should_close=should_close)
+
     async def _create_connection(self, req, traces, timeout):
         """Open a connection; raise ClientConnectorError if it is reset at once.
 
@@ -112,10 +175,12 @@
 
     async def send(self, connection):
         """Set which request id the response must echo, then send the request."""
-        name = self.session.connector.id_header
+        connector = self.session.connector
+        name = connector.id_header
         protocol = connection.protocol
         protocol.id_header = name
-        protocol.expected_id = self.headers.get(name) if name is not None else None
+        protocol.max_interim_responses = connector.max_interim_responses
+        protocol.begin_request(self.headers.get(name) if name is not None else None)
         return await super().send(connection)
 
 
@@ -187,7 +252,7 @@
         session = aiohttp.ClientSession(
             connector=_Connector(
                 self._names.request_id,
-                self._limits.connection_settle_s,
+                self._limits,
                 limit=self._max_connections,
                 keepalive_timeout=self._limits.idle_timeout_s,
                 use_dns_cache=False,
@@ -285,6 +350,14 @@
         task.add_done_callback(self._close_tasks.discard)
 
 
+async def _skip_body(payload: aiohttp.StreamReader) -> None:
+    size = 0
+    while part := await payload.readany():
+        size += len(part)
+        if size > MAX_SKIPPED_BODY_BYTES:
+            raise aiohttp.ServerDisconnectedError("late response too long")
+
+
 def _keep_alive_seconds(value: str) -> float | None:
     """Return the timeout of a `Keep-Alive` header, if it states one."""
     for part in value.split(","):
--- a/src/dogwoodshed/_internal/proxy/response_writer.py
+++ b/src/dogwoodshed/_internal/proxy/response_writer.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from typing import NamedTuple
 
 import aiohttp
 from aiohttp import web
@@ -24,6 +25,17 @@
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 
 
+class StreamLimits(NamedTuple):
+    """How long an upstream may take to send a response body, and how many bytes."""
+
+    # Longest time without a byte, in seconds.
+    progress_timeout: float
+    max_bytes: int
+    # Seconds until the deadline of the call. Time in which the gateway waits for the
+    # caller is added to it if the length of the body is known.
+    time_left: float
+
+
 async def send_problem(
     request: web.BaseRequest, error: CallError, *, close: bool
 ) -> web.StreamResponse:
@@ -38,13 +50,13 @@
 async def send_response(
     request: web.BaseRequest,
     upstream_response: UpstreamResponse,
-    progress_timeout: float,
+    limits: StreamLimits,
     *,
     close: bool,
 ) -> tuple[web.StreamResponse, OutcomeStatus]:
     """Send an upstream's response to the caller and return the outcome."""
     if upstream_response.body is None:
-        return await _stream(request, upstream_response, progress_timeout, close=close)
+        return await _stream(request, upstream_response, limits, close=close)
     response = BufferedResponse(
         status=upstream_response.status,
         reason=upstream_response.reason,
@@ -86,7 +98,7 @@
 async def _stream(
     request: web.BaseRequest,
     upstream_response: UpstreamResponse,
-    progress_timeout: float,
+    limits: StreamLimits,
     *,
     close: bool,
 ) -> tuple[web.StreamResponse, OutcomeStatus]:
@@ -99,17 +111,19 @@
         response.force_close()
     status = OutcomeStatus.CANCELLED
     is_complete = False
-    chunks = upstream_response.client_response.content.iter_any()
+    chunks = _LimitedChunks(upstream_response, limits)
     try:
         await response.prepare(request)
         if upstream_response.prefix:
             await response.write(upstream_response.prefix)
         while True:
-            chunk = await _next_chunk(chunks, upstream_response, progress_timeout)
-            if chunk is None:
+            chunk = await chunks.read()
+            if not chunk:
                 break
+            started_at = chunks.now()
             async with asyncio.timeout(CALLER_STALL_TIMEOUT_S):
                 await response.write(chunk)
+            chunks.record_write(chunks.now() - started_at)
         await response.write_eof()
         is_complete = True
         status = OutcomeStatus.ANSWERED
@@ -132,17 +146,44 @@
     return response, status
 
 
-async def _next_chunk(
-    chunks, upstream_response: UpstreamResponse, progress_timeout: float
-) -> bytes | None:
-    try:
-        async with asyncio.timeout(progress_timeout):
-            return await anext(chunks, None)
-    except TimeoutError:
-        upstream_response.mark_silent()
-        raise ResponseTruncatedError("no progress") from None
-    except (aiohttp.ClientError, OSError) as error:
-        raise ResponseTruncatedError(type(error).__name__) from error
+class _LimitedChunks:
+    """Read the chunks of a body whose upstream may never end it."""
+
+    def __init__(
+        self, upstream_response: UpstreamResponse, limits: StreamLimits
+    ) -> None:
+        self._response = upstream_response
+        self._content = upstream_response.client_response.content
+        self._limits = limits
+        self.now = asyncio.get_running_loop().time
+        self._has_length = upstream_response.client_response.content_length is not None
+        self._ends_at = self.now() + limits.time_left
+        self._size = len(upstream_response.prefix)
+
+    async def read(self) -> bytes:
+        """Return the next chunk, empty at the end; raises ResponseTruncatedError."""
+        time_left = self._ends_at - self.now()
+        timeout = min(self._limits.progress_timeout, time_left)
+        try:
+            async with asyncio.timeout(timeout):
+                chunk = await self._content.readany()
+        except TimeoutError:
+            if timeout < time_left:
+                self._response.mark_silent()
+            raise ResponseTruncatedError("no progress") from None
+        except (aiohttp.ClientError, OSError) as error:
+            raise ResponseTruncatedError(type(error).__name__) from error
+        self._size += len(chunk)
+        if chunk and time_left <= 0 and not self._has_length:
+            raise ResponseTruncatedError("deadline passed")
+        if self._size > self._limits.max_bytes:
+            raise ResponseTruncatedError("response too long")
+        return chunk
+
+    def record_write(self, seconds: float) -> None:
+        """Record how long the gateway waited for the caller to take a chunk."""
+        if self._has_length:
+            self._ends_at += seconds
 
 
 def _reset_connection(request: web.BaseRequest) -> None:
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -24,6 +24,7 @@
 from dogwoodshed._internal.proxy.requests import check_request, parse_call, read_body
 from dogwoodshed._internal.proxy.response_writer import (
     CALLER_STALL_TIMEOUT_S,
+    StreamLimits,
     send_problem,
     send_response,
 )
@@ -218,7 +219,11 @@
             response, outcome = await send_response(
                 request,
                 upstream_response,
-                self._limits.progress_timeout_s,
+                StreamLimits(
+                    self._limits.progress_timeout_s,
+                    self._limits.max_response_bytes,
+                    call.deadline - self._clock.monotonic(),
+                ),
                 close=self._closing,
             )
             self._record_response(call, arrived_at, response.status, outcome)
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -123,6 +123,11 @@
     max_header_bytes: Annotated[int, Meta(ge=256)] = 16_384
     max_body_bytes: Annotated[int, Meta(ge=0)] = 64 * 1024 * 1024
     replay_body_bytes: Annotated[int, Meta(ge=0)] = 65_536
+    # Longer response bodies are cut off, as are those of unknown length that have not
+    # ended by the deadline of their call.
+    max_response_bytes: Annotated[int, Meta(ge=65_536)] = 1024 * 1024 * 1024
+    # More 1xx responses to one request than this fail its call.
+    max_interim_responses: Annotated[int, Meta(ge=1)] = 20
     queue_length: Annotated[int, Meta(ge=1)] = 10_000
     progress_timeout_s: Annotated[float, Meta(gt=0)] = 5.0
     connect_timeout_s: Annotated[float, Meta(gt=0)] = 1.0
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -125,12 +125,18 @@
         cls.upstream = RawServer()
         await cls.upstream.start()
         await cls.fleet.start_platform()
+        document = builders.configuration_document(*cls.services())
+        await cls.fleet.publish(json.dumps(document))
+        await cls.fleet.start_gateways(1, routing="round_robin", **cls.settings)
+        cls.gateway = cls.fleet.gateways[0]
+
+    @classmethod
+    def services(cls) -> tuple[dict, ...]:
+        """Return the configuration entries of the services."""
         service = builders.service_entry(
             "raw", (cls.upstream.address,), kinds=cls.kinds(), **cls.service
         )
-        await cls.fleet.publish(json.dumps(builders.configuration_document(service)))
-        await cls.fleet.start_gateways(1, routing="round_robin", **cls.settings)
-        cls.gateway = cls.fleet.gateways[0]
+        return (service,)
 
     @classmethod
     def kinds(cls) -> list[dict]:
