Keep the work of a gateway independent of the number of hosts

Each poll searched the hub of each upstream by a scan of all members, 40 times a second, on every gateway; the members were sorted at each check for a due read and scanned at each load; a join refreshed all members once for each member; each gateway logged each entry of the first listing. Change: the roster keeps what it derives from the live members until these change; members are recorded in batches; gateways with nothing to probe poll every 0.2 s; acknowledgement and load go out in one write; many changed entries or members share one log line; messages between gateways are converted by msgspec, which also checks the types of their fields. Ruled out: the decoding of reports alone (0.3 s of 4.1 s).

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -1,5 +1,6 @@
 """Follow a directory from as few gateways as are needed to keep the data current."""
 
+import asyncio
 import random
 from collections.abc import Callable
 
@@ -91,7 +92,7 @@
         failures = 0
         while not self.should_stop:
             if not self._is_read_due():
-                await self.sleep(POLL_INTERVAL_S)
+                await asyncio.sleep(POLL_INTERVAL_S)
                 continue
             try:
                 changes = await self._read()
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -25,6 +25,9 @@
 # A peer may have a later revision while updates are in transit. If this takes longer,
 # some updates were lost.
 GAP_TIMEOUT_S = 0.6
+# The first data of a large fleet has hundreds of entries; more changes than this at
+# once share one log line.
+MAX_LOGGED_ENTRIES = 8
 
 
 class DirectoryView:
@@ -225,8 +228,11 @@
             if announce:
                 self._unannounced_entries.extend(changed)
             self._metrics.increment("directory.entries", len(changed))
-            for entry in changed:
-                logging.info("upstream entry %s from %s", entry, source)
+            if len(changed) > MAX_LOGGED_ENTRIES:
+                logging.info("%d upstream entries from %s", len(changed), source)
+            else:
+                for entry in changed:
+                    logging.info("upstream entry %s from %s", entry, source)
             self._apply_table()
         if announce:
             self._publish()
--- a/src/dogwoodshed/_internal/mesh/codec.py
+++ b/src/dogwoodshed/_internal/mesh/codec.py
@@ -1,10 +1,12 @@
 """Encode and decode messages as msgpack arrays."""
 
+import functools
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any, NamedTuple
 
 import msgpack
+import msgspec
 
 from dogwoodshed._internal.exceptions import ProtocolError
 from dogwoodshed._internal.mesh.messages import CODES
@@ -53,46 +55,47 @@
     if not isinstance(values, tuple) or len(values) < 2:
         raise ProtocolError("expected an array of code, request id and fields")
     code, request_id, *fields = values
-    message_type = CODES.get(code)
-    if message_type is None or not isinstance(request_id, int):
-        raise ProtocolError(f"unknown message code {code!r}")
-    return Envelope(request_id, _decoder_for(message_type)(fields))
+    message_type = CODES.get(code) if isinstance(code, int) else None
+    if message_type is None or type(request_id) is not int:
+        raise ProtocolError(f"unknown message code {code!r:.40}")
+    return Envelope(request_id, _convert(fields, message_type))
 
 
-def _decoder_for(message_type: type) -> Callable[[Any], Any]:
-    decoder = _DECODERS.get(message_type)
-    if decoder is None:
-        decoder = _DECODERS[message_type] = _build_decoder(message_type)
-    return decoder
-
-
-_DECODERS: dict[type, Callable[[Any], Any]] = {}
-
-
-def _build_decoder(message_type: type) -> Callable[[Any], Any]:
-    names = message_type._fields
-    required = len(names) - len(message_type._field_defaults)
+def _convert(fields: list[Any], message_type: type) -> Any:
+    """Build a message and check the types of its fields; raises ProtocolError."""
+    try:
+        return msgspec.convert(fields, message_type)
+    except msgspec.ValidationError:
+        # A later release may send additional fields at the end.
+        trimmed = _without_additional_fields(fields, message_type)
+    try:
+        return msgspec.convert(trimmed, message_type)
+    except msgspec.ValidationError as error:
+        raise ProtocolError(f"malformed {message_type.__name__}: {error}") from error
+
+
+def _without_additional_fields(values: Any, message_type: type) -> Any:
+    if not isinstance(values, list | tuple):
+        return values
+    present = list(values[: len(message_type._fields)])
+    for index, item_type in _nested_types(message_type).items():
+        if index < len(present) and isinstance(present[index], tuple):
+            present[index] = [
+                _without_additional_fields(item, item_type) for item in present[index]
+            ]
+    return present
+
+
+@functools.cache
+def _nested_types(message_type: type) -> dict[int, type]:
+    """Return the fields that are tuples of named tuples, with the type of the items."""
     hints = typing.get_type_hints(message_type)
-    nested = {
-        index: _decoder_for(item)
-        for index, name in enumerate(names)
+    return {
+        index: item
+        for index, name in enumerate(message_type._fields)
         if (item := _item_type(hints[name])) is not None
     }
 
-    def decode(values: Any) -> Any:
-        # A later release may send additional fields at the end.
-        present = list(values[: len(names)])
-        if len(present) < required:
-            raise ProtocolError(
-                f"{message_type.__name__} has only {len(present)} fields"
-            )
-        for index, decode_item in nested.items():
-            if index < len(present):
-                present[index] = tuple(decode_item(item) for item in present[index])
-        return message_type(*present)
-
-    return decode
-
 
 def _item_type(hint: Any) -> type | None:
     """Return X for a hint `tuple[X, ...]` if X is a named tuple."""
--- a/src/dogwoodshed/_internal/mesh/load_exchange.py
+++ b/src/dogwoodshed/_internal/mesh/load_exchange.py
@@ -88,12 +88,12 @@
         # Sequence numbers of own messages to the hub, and of sums sent as hub.
         self._own_sequence = 0
         self._sum_sequence = 0
-        self._sent_at = float("-inf")
         # Last sequence number received from each gateway that this one serves as hub.
         self._received_sequences: dict[str, int] = {}
         # By hub and incarnation, since sequence numbers start again after a restart.
         self._seen_sequences: dict[tuple[str, int], int] = {}
         self._members_by_hub: dict[str, tuple[Member, ...]] = {}
+        self._failing_by_hub: dict[str, tuple[str, ...]] = {}
         self._last_seen_at: dict[str, float] = {}
 
     def attach(self, delegate: LoadDelegate) -> None:
@@ -148,13 +148,15 @@
         ):
             return
         self._last_seen_at[load.hub] = now
-        for member in self._members_by_hub.get(load.hub, ()):
-            self._roster.record_member(member)
-            self._roster.record_seen(member.id, member.incarnation, leaving=False)
+        self._roster.record_live(self._members_by_hub.get(load.hub, ()))
 
     def _record_readers(self, load: DataCentreLoad) -> None:
         # A gateway that has just started has not seen earlier failures. Two gateways
         # that rank the readers differently may each wait for the other to read.
+        known = self._failing_by_hub.get(load.hub, ())
+        if not load.members and load.failing_readers == known:
+            return
+        self._failing_by_hub[load.hub] = load.failing_readers
         for member in self._members_by_hub.get(load.hub, ()):
             failing = member.id in load.failing_readers
             self._roster.record_reader(member.id, failing=failing)
@@ -240,8 +242,8 @@
         This gateway is itself one of those that it serves.
         """
         for gateway_id, sequence in self._received_sequences.items():
-            connections[gateway_id].send(LoadAcknowledgement(sequence))
-            connections[gateway_id].send_encoded_load(data)
+            acknowledgement = encode(LoadAcknowledgement(sequence))
+            connections[gateway_id].send_encoded_load(acknowledgement + data)
         self._delegate.record_acknowledgement(self._own.peer_id, self._own_sequence)
         self._delegate.apply_load(load)
 
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -168,7 +168,7 @@
             self._discover_peers(now)
             if now - self._flushed_at >= KEEPALIVE_S - MAINTENANCE_INTERVAL_S:
                 self._flush()
-            await self.sleep(MAINTENANCE_INTERVAL_S)
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
     def _dial_wanted(self, now: float) -> None:
         wanted = self._roster.peers_to_connect()
@@ -293,16 +293,14 @@
         self._last_seen_at[hello.peer_id] = self._last_wanted_at[hello.peer_id] = now
         self._update_flood.add_peer(hello.peer_id)
         self._load_exchange.add_peer(remote=self._is_remote(hello.peer_id))
-        self._roster.record_member(
-            Member(
-                hello.peer_id,
-                hello.address,
-                hello.data_centre,
-                hello.incarnation,
-                hello.hub_weight,
-            )
+        member = Member(
+            hello.peer_id,
+            hello.address,
+            hello.data_centre,
+            hello.incarnation,
+            hello.hub_weight,
         )
-        self._roster.record_seen(hello.peer_id, hello.incarnation, leaving=False)
+        self._roster.record_live((member,))
         connection.send(
             MemberList(self._roster.live, **self._delegate.directory_progress())
         )
@@ -334,8 +332,7 @@
     def _handle_member_list(
         self, connection: PeerConnection, member_list: MemberList
     ) -> None:
-        for member in member_list.members:
-            self._record_member(member)
+        self._roster.record_live(member_list.members)
         self._dial_wanted(self._clock.monotonic())
         is_behind = member_list.directory_revision > self._delegate.directory_revision
         self._delegate.record_peer_progress(
@@ -344,10 +341,6 @@
         if is_behind:
             self._snapshot_requester.request_from_new_peer(connection)
 
-    def _record_member(self, member: Member) -> None:
-        self._roster.record_member(member)
-        self._roster.record_seen(member.id, member.incarnation, leaving=False)
-
     def _handle_update(self, peer_id: str, update: GatewayUpdate) -> None:
         if not self._update_flood.queue_received_update(peer_id, update):
             return
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -1,6 +1,6 @@
 """Track the members of a fleet that discovers its gateways."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from absl import logging
 
@@ -15,6 +15,9 @@
 SUSPECT_PERIOD_S = 1.0
 # Gateways not seen for longer are no longer dialled; they reconnect by themselves.
 FORGET_AFTER_S = 30.0
+# When a fleet starts, hundreds of gateways become live at once; more changes than this
+# share one log line.
+MAX_LOGGED_CHANGES = 8
 
 
 class FleetRoster:
@@ -33,7 +36,17 @@
         self._leaving: dict[str, int] = {}
         self._suspect_until: dict[str, float] = {}
         self._failing_readers: set[str] = set()
-        self._live: tuple[Member, ...] = (own,)
+        # Derived from the live gateways, and kept until these change: several are read
+        # many times a second, and a scan of all members costs more as the fleet grows.
+        self._live: tuple[Member, ...] = ()
+        self._live_set: frozenset[Member] = frozenset()
+        self._live_by_data_centre: dict[str, list[Member]] = {}
+        self._members_view = Members(own.id, (), ())
+        self._set_live((own,))
+        # Monotonic time at which the next gateway would count as silent.
+        self._refresh_at = float("-inf")
+        self._reader_order: list[Member] | None = None
+        self._reader_order_hubs: list[Member] = []
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -51,8 +64,7 @@
 
     @property
     def members(self) -> Members:
-        live = tuple(sorted(member.id for member in self._live))
-        return Members(self._own.id, live, live)
+        return self._members_view
 
     @property
     def is_hub(self) -> bool:
@@ -62,10 +74,14 @@
     def reader_rank(self) -> int:
         """The position of this gateway among the directory readers; 0 reads first."""
         hubs = self._hubs()
-        readers = [*hubs, *(member for member in self._live if member not in hubs)]
-        # Gateways whose last directory request failed come last, in the same order.
-        readers.sort(key=lambda member: member.id in self._failing_readers)
-        return readers.index(self._own) if self._own in readers else len(readers)
+        if self._reader_order is None or self._reader_order_hubs != hubs:
+            readers = [*hubs, *(member for member in self._live if member not in hubs)]
+            # Gateways whose last directory request failed come last, in the same order.
+            readers.sort(key=lambda member: member.id in self._failing_readers)
+            self._reader_order, self._reader_order_hubs = readers, hubs
+        if self._own not in self._live_set:
+            return len(self._reader_order)
+        return self._reader_order.index(self._own)
 
     @property
     def failing_readers(self) -> frozenset[str]:
@@ -77,14 +93,15 @@
 
     def hub(self, data_centre: str) -> Member | None:
         """Return the hub of a data centre, or None without live gateways."""
-        now = self._clock.monotonic()
-        candidates = [
-            member for member in self._live if member.data_centre == data_centre
-        ]
-        for member in candidates:
-            if self._suspect_until.get(member.id, 0.0) <= now:
-                return member
-        return candidates[0] if candidates else None
+        candidates = self._live_by_data_centre.get(data_centre)
+        if not candidates:
+            return None
+        if self._suspect_until:
+            now = self._clock.monotonic()
+            for member in candidates:
+                if self._suspect_until.get(member.id, 0.0) <= now:
+                    return member
+        return candidates[0]
 
     def peers_to_connect(self) -> tuple[Member, ...]:
         """Return the gateways to which this one keeps a connection."""
@@ -93,15 +110,9 @@
             return (hub,) if hub is not None else ()
         return tuple(hub for hub in self._hubs() if hub != self._own)
 
-    def data_centres_served(self) -> frozenset[str]:
-        """Return the data centres whose upstreams this gateway probes."""
-        if not self.is_hub:
-            return frozenset()
-        return frozenset({self._own.data_centre})
-
     def has_live_gateway(self, data_centre: str) -> bool:
         """Return whether a data centre has a live gateway."""
-        return any(member.data_centre == data_centre for member in self._live)
+        return data_centre in self._live_by_data_centre
 
     def record_member(self, member: Member) -> None:
         """Add or replace a gateway that a peer reported."""
@@ -119,7 +130,7 @@
             )
         ):
             self._members[member.id] = member
-            self._failing_readers.discard(member.id)
+            self.record_reader(member.id, failing=False)
 
     def _seen_recently(self, member_id: str) -> bool:
         last_seen_at = self._last_seen_at.get(member_id, float("-inf"))
@@ -130,32 +141,53 @@
         member = self._members.get(member_id)
         if member is None or member.incarnation != incarnation:
             return
-        now = self._clock.monotonic()
         if leaving:
             self._leaving[member_id] = incarnation
-        was_live = self._seen_recently(member_id)
-        self._last_seen_at[member_id] = now
-        if not was_live or leaving or member not in self._live:
-            self.refresh()
+        if self._record_seen(member) or leaving:
+            self._refresh_all()
+
+    def record_live(self, members: Iterable[Member]) -> None:
+        """Record the gateways that a peer reports as live, and refresh once."""
+        has_new = False
+        for member in members:
+            self.record_member(member)
+            known = self._members.get(member.id)
+            if known is not None and known.incarnation == member.incarnation:
+                has_new = self._record_seen(known) or has_new
+        if has_new:
+            self._refresh_all()
+
+    def _record_seen(self, member: Member) -> bool:
+        """Update the last-seen time; return whether the gateway was not live."""
+        was_live = self._seen_recently(member.id)
+        self._last_seen_at[member.id] = self._clock.monotonic()
+        return not was_live or member not in self._live_set
 
     def record_reader(self, member_id: str, *, failing: bool) -> None:
         """Record whether the last directory request of a gateway failed."""
+        if failing == (member_id in self._failing_readers):
+            return
         if failing:
             self._failing_readers.add(member_id)
         else:
             self._failing_readers.discard(member_id)
+        self._reader_order = None
 
     def record_leaving(self) -> None:
         """Record that this gateway leaves, so that it is not the hub any more."""
         self._leaving[self._own.id] = self._own.incarnation
-        self.refresh()
+        self._refresh_all()
 
     def record_unreachable(self, member_id: str) -> None:
         """Avoid a gateway as hub for SUSPECT_PERIOD_S."""
         self._suspect_until[member_id] = self._clock.monotonic() + SUSPECT_PERIOD_S
 
     def refresh(self) -> None:
-        """Update the live gateways; notify listeners of a change."""
+        """Update the live gateways if one may have become silent."""
+        if self._clock.monotonic() >= self._refresh_at:
+            self._refresh_all()
+
+    def _refresh_all(self) -> None:
         live = [
             member
             for member in self._members.values()
@@ -164,17 +196,39 @@
         ]
         live.sort(key=_hub_order)
         live_members = tuple(live)
+        self._refresh_at = DEAD_AFTER_S + min(
+            (self._last_seen_at[m.id] for m in live if m.id != self._own.id),
+            default=self._clock.monotonic(),
+        )
         if live_members == self._live:
             return
-        previous, self._live = self._live, live_members
-        for member in set(previous) ^ set(live_members):
-            state = "live" if member in live_members else "silent or leaving"
-            logging.info(
-                "gateway %s is %s; %d live", member.id, state, len(live_members)
-            )
+        previous = self._live
+        self._set_live(live_members)
+        self._reader_order = None
+        self._log_changes(set(previous) ^ self._live_set)
         for listener in self._listeners:
             listener()
 
+    def _log_changes(self, changed: set[Member]) -> None:
+        live_count = len(self._live)
+        if len(changed) > MAX_LOGGED_CHANGES:
+            logging.info(
+                "%d gateways changed their state; %d live", len(changed), live_count
+            )
+            return
+        for member in changed:
+            state = "live" if member in self._live_set else "silent or leaving"
+            logging.info("gateway %s is %s; %d live", member.id, state, live_count)
+
+    def _set_live(self, live: tuple[Member, ...]) -> None:
+        self._live = live
+        self._live_set = frozenset(live)
+        self._live_by_data_centre = {}
+        for member in live:
+            self._live_by_data_centre.setdefault(member.data_centre, []).append(member)
+        ids = tuple(sorted(member.id for member in live))
+        self._members_view = Members(self._own.id, ids, ids)
+
     def forget_old(self) -> None:
         """Remove gateways that have not been seen for FORGET_AFTER_S."""
         limit = self._clock.monotonic() - FORGET_AFTER_S
@@ -189,10 +243,9 @@
                 del self._last_seen_at[member_id]
 
     def _hubs(self) -> list[Member]:
-        data_centres = sorted({member.data_centre for member in self._live})
         hubs = [
             hub
-            for data_centre in data_centres
+            for data_centre in self._live_by_data_centre
             if (hub := self.hub(data_centre)) is not None
         ]
         return sorted(hubs, key=_hub_order)
--- a/src/dogwoodshed/_internal/probing/prober.py
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -1,5 +1,6 @@
 """Probe upstreams that have not reported their load recently."""
 
+import asyncio
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -22,6 +23,8 @@
 FEATURE_BUDGET_SHARE = "probe_share"
 
 POLL_INTERVAL_S = 0.025
+# Poll interval of a gateway that has nothing to probe.
+IDLE_POLL_INTERVAL_S = 0.2
 PROBE_TIMEOUT_S = 1.0
 # Two gateways may probe an upstream for a moment while its owner changes.
 USED_BUDGET_SHARE = 0.5
@@ -76,7 +79,8 @@
             # not delay the others.
             for target in self.pop_due(self._clock.monotonic()):
                 self.add_future(self._probe(target))
-            await self.sleep(POLL_INTERVAL_S)
+            interval = POLL_INTERVAL_S if self._schedules else IDLE_POLL_INTERVAL_S
+            await asyncio.sleep(interval)
 
     async def on_stop(self) -> None:
         """Close the probe connections."""
@@ -93,8 +97,11 @@
         for address in set(self._schedules) - set(targets):
             del self._schedules[address]
         due = []
+        budget_share = USED_BUDGET_SHARE
+        if self._split_budget and targets:
+            budget_share *= self._membership.members.live_share
         for address, target in targets.items():
-            interval = self._interval(target)
+            interval = 1 / (target.budget_per_s * budget_share)
             schedule = self._schedules.get(address)
             if schedule is None or schedule.interval != interval:
                 self._schedules[address] = _Schedule(now + interval, interval)
@@ -104,12 +111,6 @@
                     due.append(target)
         return due
 
-    def _interval(self, target: ProbeTarget) -> float:
-        rate = target.budget_per_s * USED_BUDGET_SHARE
-        if self._split_budget:
-            rate *= self._membership.members.live_share
-        return 1 / rate
-
     async def _probe(self, target: ProbeTarget) -> None:
         self._metrics.increment("probes.sent")
         started = self._clock.monotonic()
--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -97,6 +97,8 @@
 
     def record_result(self, failed: bool, now: float) -> None:
         """Add the result of an attempt to the error rate."""
+        if not failed and not self._error_rate:
+            return
         rate = self.error_rate(now)
         self._error_rate = rate + ERROR_WEIGHT * (failed - rate)
         self._error_at = now
--- a/src/dogwoodshed/_internal/routing/shared_router.py
+++ b/src/dogwoodshed/_internal/routing/shared_router.py
@@ -79,6 +79,8 @@
         self._usable_upstreams: dict[str, list[UsableUpstream]] = {}
         self._states: dict[str, UpstreamState] = {}
         self._pool_of: dict[str, ServicePool] = {}
+        # Data centres that have upstreams.
+        self._data_centres: set[str] = set()
         self._load = SharedLoad(self._pools, self._states, self._pool_of, self._clock)
 
     @property
@@ -129,6 +131,7 @@
             del self._pool_of[removed]
         self._states.clear()
         self._states.update(states)
+        self._data_centres = {s.upstream.data_centre for s in states.values()}
 
     def set_draining(self, address: str, draining: bool) -> None:
         """Ignore drains in load reports; the directory lists them early enough."""
@@ -310,6 +313,13 @@
 
     def probe_targets(self) -> tuple[ProbeTarget, ...]:
         """Return the upstreams that this gateway probes."""
+        probed = {
+            data_centre
+            for data_centre in self._data_centres
+            if self._context.probes_data_centre(data_centre)
+        }
+        if not probed:
+            return ()
         return tuple(
             ProbeTarget(
                 pool.service.name,
@@ -320,7 +330,7 @@
             )
             for pool in self._pools.values()
             for state in pool.states.values()
-            if self._context.probes_data_centre(state.upstream.data_centre)
+            if state.upstream.data_centre in probed
         )
 
     def record_probe(self, target: ProbeTarget, outcome: Outcome) -> None:
