Survive malformed messages and unexpected errors

Cause: mode stops the whole process when a task of a service raises. Messages of peers with fields of another type, responses of the store without the expected fields, one item without a key or revision, and any programming error in a handler, a read or a maintenance round did so, or hid all other items of the store.

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -7,6 +7,7 @@
 from absl import logging
 from mode import Service
 
+from dogwoodshed._internal.background import log_unexpected_errors
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.directory.model import Directory, DirectoryChanges
 from dogwoodshed._internal.exceptions import HistoryLostError, PlatformError
@@ -67,6 +68,8 @@
         self._current_at = self._started_at
         self._revision = 0
         self._reachable = True
+        # Consecutive reads that failed.
+        self._failures = 0
 
     @property
     def revision(self) -> int:
@@ -89,32 +92,39 @@
 
     @Service.task
     async def _follow(self) -> None:
-        failures = 0
         while not self.should_stop:
             if not self._is_read_due():
                 await asyncio.sleep(POLL_INTERVAL_S)
                 continue
-            try:
-                changes = await self._read()
-            except HistoryLostError:
-                self._metrics.increment("directory.history_lost")
-                logging.info("directory history lost; reading the complete directory")
-                self._on_failure()
-                self._revision = 0
-                continue
-            except PlatformError as error:
-                failures += 1
-                self._set_reachable(False, error)
-                self._on_failure()
-                await self.sleep(self._backoff(failures))
-                continue
-            failures = 0
-            self._set_reachable(True, None)
-            self._current_at = self._clock.monotonic()
-            self._revision = changes.revision
-            self._on_changes(changes)
-            if changes.entries or changes.configuration:
-                await self.sleep(COALESCE_DELAY_S)
+            # Stays above 0 if the read ends with an unexpected error.
+            self._failures += 1
+            with log_unexpected_errors("directory", self._metrics):
+                await self._read_once()
+            if self._failures:
+                await self.sleep(self._backoff(self._failures))
+
+    async def _read_once(self) -> None:
+        """Read and apply changes; reset the count of failures if that succeeds."""
+        try:
+            changes = await self._read()
+        except HistoryLostError:
+            self._metrics.increment("directory.history_lost")
+            logging.info("directory history lost; reading the complete directory")
+            self._on_failure()
+            self._revision = 0
+            self._failures = 0
+            return
+        except PlatformError as error:
+            self._set_reachable(False, error)
+            self._on_failure()
+            return
+        self._set_reachable(True, None)
+        self._current_at = self._clock.monotonic()
+        self._revision = changes.revision
+        self._on_changes(changes)
+        self._failures = 0
+        if changes.entries or changes.configuration:
+            await self.sleep(COALESCE_DELAY_S)
 
     def _is_read_due(self) -> bool:
         reader_rank = self._reader_rank()
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -6,6 +6,7 @@
 from absl import logging
 from mode import Service
 
+from dogwoodshed._internal.background import log_unexpected_errors
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.follower import DirectoryFollower
@@ -278,11 +279,13 @@
     @Service.task
     async def _maintain(self) -> None:
         while not self.should_stop:
-            self._router.load.drop_stale_loads()
-            if self._view.has_gap:
-                self._overlay.request_snapshot()
+            with log_unexpected_errors("gateway", self._metrics):
+                self._router.load.drop_stale_loads()
+                if self._view.has_gap:
+                    self._overlay.request_snapshot()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
     @Service.timer(1.0)
     async def _flush_metrics(self) -> None:
-        self._metrics.flush()
+        with log_unexpected_errors("gateway", self._metrics):
+            self._metrics.flush()
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -7,6 +7,7 @@
 
 from mode import Service
 
+from dogwoodshed._internal.background import log_unexpected_errors
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.exceptions import MeshError
 from dogwoodshed._internal.membership import STATE_LEAVING
@@ -161,15 +162,19 @@
     @Service.task
     async def _maintain(self) -> None:
         while not self.should_stop:
-            now = self._clock.monotonic()
-            self._roster.refresh()
-            self._close_silent(now)
-            self._dial_wanted(now)
-            self._discover_peers(now)
-            if now - self._flushed_at >= KEEPALIVE_S - MAINTENANCE_INTERVAL_S:
-                self._flush()
+            with log_unexpected_errors("overlay", self._metrics):
+                self._maintain_once()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
+    def _maintain_once(self) -> None:
+        now = self._clock.monotonic()
+        self._roster.refresh()
+        self._close_silent(now)
+        self._dial_wanted(now)
+        self._discover_peers(now)
+        if now - self._flushed_at >= KEEPALIVE_S - MAINTENANCE_INTERVAL_S:
+            self._flush()
+
     def _dial_wanted(self, now: float) -> None:
         wanted = self._roster.peers_to_connect()
         for member in wanted:
@@ -253,6 +258,17 @@
         if not self._register(connection):
             connection.close()
             return
+        try:
+            # After an unexpected error the connection is closed, and dialled again.
+            with log_unexpected_errors("overlay", self._metrics):
+                await self._receive_all(connection)
+        finally:
+            connection.close()
+            if self._connections.get(hello.peer_id) is connection:
+                self._unregister(hello.peer_id)
+
+    async def _receive_all(self, connection: PeerConnection) -> None:
+        hello = connection.hello
         try:
             while (envelopes := await connection.receive()) is not None:
                 self._last_seen_at[hello.peer_id] = self._clock.monotonic()
@@ -263,10 +279,6 @@
                     self._handle(connection, envelope.message)
         except (OSError, MeshError):
             self._metrics.increment("overlay.connections_broken")
-        finally:
-            connection.close()
-            if self._connections.get(hello.peer_id) is connection:
-                self._unregister(hello.peer_id)
 
     def _unregister(self, peer_id: str) -> None:
         del self._connections[peer_id]
--- a/src/dogwoodshed/_internal/probing/prober.py
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -7,6 +7,7 @@
 import aiohttp
 from mode import Service
 
+from dogwoodshed._internal.background import log_unexpected_errors
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.metrics import Metrics
@@ -75,10 +76,11 @@
             timeout=aiohttp.ClientTimeout(total=PROBE_TIMEOUT_S),
         )
         while not self.should_stop:
-            # Probes run concurrently, so that an upstream that does not respond does
-            # not delay the others.
-            for target in self.pop_due(self._clock.monotonic()):
-                self.add_future(self._probe(target))
+            with log_unexpected_errors("probes", self._metrics):
+                # Probes run concurrently, so that an upstream that does not respond
+                # does not delay the others.
+                for target in self.pop_due(self._clock.monotonic()):
+                    self.add_future(self._probe(target))
             interval = POLL_INTERVAL_S if self._schedules else IDLE_POLL_INTERVAL_S
             await asyncio.sleep(interval)
 
@@ -114,11 +116,12 @@
     async def _probe(self, target: ProbeTarget) -> None:
         self._metrics.increment("probes.sent")
         started = self._clock.monotonic()
-        status, report = await self._send_probe(target)
-        elapsed = self._clock.monotonic() - started
-        if status is not OutcomeStatus.ANSWERED:
-            self._metrics.increment("probes.failed")
-        self._on_probe(target, Outcome(status, elapsed, report))
+        with log_unexpected_errors("probes", self._metrics):
+            status, report = await self._send_probe(target)
+            elapsed = self._clock.monotonic() - started
+            if status is not OutcomeStatus.ANSWERED:
+                self._metrics.increment("probes.failed")
+            self._on_probe(target, Outcome(status, elapsed, report))
 
     async def _send_probe(
         self, target: ProbeTarget
