--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -43,6 +43,8 @@
     def __init__(self) -> None:
         self._rows: dict[str, _Row] = {}
         self._outage_grace_until = float("-inf")
+        # Up to this revision, an upstream without a row has been removed.
+        self._complete_revision = 0
 
     @property
     def entries(self) -> tuple[UpstreamEntry, ...]:
@@ -68,7 +70,9 @@
             for entry in self.entries
             if entry.listed and entry.id not in listed and entry.revision <= revision
         ]
-        return self.apply([*entries, *removed], now)
+        changed = self.apply([*entries, *removed], now)
+        self._complete_revision = max(self._complete_revision, revision)
+        return changed
 
     def usable(self, now: float) -> list[UsableUpstream]:
         """Return the upstreams that may get calls now."""
@@ -104,6 +108,9 @@
 
     def _merge(self, entry: UpstreamEntry, now: float) -> bool:
         row = self._rows.get(entry.id)
+        if row is None and entry.revision <= self._complete_revision:
+            # A peer that is behind does not know yet that the upstream has left.
+            return False
         if row is None:
             self._rows[entry.id] = _Row(entry, now)
             self._drop_old_removal()
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -137,7 +137,10 @@
         if snapshot.directory_revision == 0:
             return
         now = self._clock.monotonic()
-        changed = self._table.apply(map(_from_wire, snapshot.entries), now)
+        # An upstream that is not in the snapshot left before the peer was started.
+        changed = self._table.apply_listing(
+            tuple(map(_from_wire, snapshot.entries)), snapshot.directory_revision, now
+        )
         if announce:
             self._announce_revision(snapshot.directory_revision)
         else:
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -56,6 +56,22 @@
         new = self.table.apply_listing((), 5, 1.0)
         self.assertEqual([(e.id, e.listed) for e in new], [("i-1", False)])
 
+    def test_entry_removed_before_the_listing_is_not_restored(self):
+        """Guards against a server that left while this gateway was restarted.
+
+        A peer that has not reached the store since then still sends its entry.
+        """
+        self.table.apply_listing((entry("i-1", 3),), 50, 0.0)
+        changed = self.table.apply([entry("i-9", 30), entry("i-8", 51)], 0.1)
+        self.assertEqual([e.id for e in changed], ["i-8"])
+        self.assertEqual(set(self.usable(0.2)), {"i-1", "i-8"})
+
+    def test_entry_that_returned_in_the_listing_is_usable(self):
+        """Guards against dropping an entry whose removal was known before."""
+        self.table.apply([entry("i-1", 4, listed=False)], 0.0)
+        self.table.apply_listing((entry("i-1", 6),), 9, 0.1)
+        self.assertEqual(set(self.usable(0.2)), {"i-1"})
+
     def test_cold_time_counts_from_the_update(self):
         """Guards against an upstream that counts as cold for ever."""
         self.table.apply([entry("i-1", 1, cold_ms=3000)], 5.0)
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -76,6 +76,34 @@
         self.other.apply_snapshot(self.reader.snapshot(), announce=True)
         self.assertEqual(len(self.other.compose_update()["entries"]), 1)
 
+    async def test_snapshot_removes_an_upstream_that_left(self):
+        """Guards against a server in use although no peer knows it any more.
+
+        The peers were restarted after it had left, so that they have no removed entry.
+        """
+        self.other.apply_update(self.read_entry(1))
+        restarted = self.view()
+        listing = DirectoryChanges(9, (entry("i-5", 5),), complete=True)
+        restarted.apply_changes(listing)
+        self.other.apply_snapshot(restarted.snapshot(), announce=False)
+        listed = {e.id for e in self.other._table.entries if e.listed}
+        self.assertEqual(listed, {"i-5"})
+
+    async def test_snapshot_of_a_peer_that_is_behind_restores_nothing(self):
+        """Guards against a server that is in use again after a restart.
+
+        The restarted gateway read the store itself, and then got the snapshot of a peer
+        that had been cut off from the store before the server left.
+        """
+        self.read_entry(1)
+        restarted = self.view()
+        listing = DirectoryChanges(9, (entry("i-5", 5),), complete=True)
+        restarted.apply_changes(listing)
+        restarted.apply_snapshot(self.reader.snapshot(), announce=True)
+        listed = {e.id for e in restarted._table.entries if e.listed}
+        self.assertEqual(listed, {"i-5"})
+        self.assertEqual(restarted.revision, 9)
+
     async def test_snapshot_is_not_announced_by_other_gateways(self):
         """Guards against a starting fleet in which every gateway announces all data.
 
