--- a/src/dogwoodshed/_internal/routing/delegating_router.py
+++ b/src/dogwoodshed/_internal/routing/delegating_router.py
@@ -131,8 +131,7 @@
 
     def drop_hub(self, peer_id: str) -> None:
         """Place the calls here that wait at a hub whose connection ended."""
-        if peer_id == self._link.hub:
-            self.load.report_delegated_calls()
+        self.load.drop_hub(peer_id)
         for pending in self._pending.values():
             if pending.hub == peer_id and not pending.reply.done():
                 pending.reply.set_exception(PlacementUnavailableError(peer_id))
--- a/src/dogwoodshed/_internal/routing/shared_load.py
+++ b/src/dogwoodshed/_internal/routing/shared_load.py
@@ -172,6 +172,14 @@
                 if hub == self._hub:
                     self._apply_acknowledged(_SentLoad(0, {}, {}, {}))
 
+    def drop_hub(self, hub: str) -> None:
+        """Drop the counts of a hub whose connection ended."""
+        if self._last_load_at.pop(hub, None) is not None:
+            self._drop(hub)
+        if hub == self._hub:
+            self.report_delegated_calls()
+            self._apply_acknowledged(_SentLoad(0, {}, {}, {}))
+
     def _drop(self, hub: str) -> None:
         for state in self._states.values():
             state.reported_calls.pop(hub, None)
--- a/tests/unit/test_placement_by_hub.py
+++ b/tests/unit/test_placement_by_hub.py
@@ -9,7 +9,11 @@
     NotRunError,
     OverloadedError,
 )
-from dogwoodshed._internal.mesh.messages import PlacementReply
+from dogwoodshed._internal.mesh.messages import (
+    DataCentreLoad,
+    InFlightCalls,
+    PlacementReply,
+)
 from dogwoodshed._internal.routing.base import LoadReport, Outcome, OutcomeStatus
 from dogwoodshed._internal.routing.delegating_router import DelegatedSlot
 from tests.lib.fleet_builders import usable_upstream
@@ -193,6 +197,21 @@
         router.release(slot, ANSWERED)
         self.assertEqual(router.load.compose_load(2)["in_flight"], ())
 
+    async def test_counts_of_a_lost_hub_are_dropped(self):
+        """Guards against upstreams that seem busy for seconds after a hub failed.
+
+        The sum of a hub includes the calls that it placed. A gateway that reports these
+        itself from then on would refuse calls until the sum expires.
+        """
+        fleet = PlacementFleet(1, 1)
+        router = fleet.gateways["g0"]
+        await self.acquire(fleet)
+        in_flight = (InFlightCalls("i-0", 2),)
+        router.load.apply_load(DataCentreLoad(HUB, 1, 1, in_flight=in_flight))
+        self.assertEqual(router._states["i-0"].in_flight, 2)
+        router.drop_hub(HUB)
+        self.assertEqual(router._states["i-0"].in_flight, 1)
+
     async def test_late_reply_of_an_earlier_request(self):
         """Guards against a place that is used twice, or by another call."""
         fleet = PlacementFleet(1, 1)
