Name a file that cannot be read, and prefer the largest hosts as hubs

Cause: check of a missing file printed an error of the system and exited with 1, though a file that is not valid exits with 2. A hub now places the calls of its data centre, and hosts of the large deployment have 0.43 to 2.15 cores. Change: UnreadableFileError, exit code 2; the full hub weight needs two cores. Result: test_file_that_cannot_be_read; the effect of the weight is not measured by itself.

--- a/src/dogwoodshed/_internal/commands/check.py
+++ b/src/dogwoodshed/_internal/commands/check.py
@@ -18,7 +18,7 @@
     summary = "validate a configuration file"
     description = (
         "Validate a configuration file. Prints every error as FILE:LINE: KEY: problem. "
-        "Exit code 0 if the file is valid, 2 if it is not."
+        "Exit code 0 if the file is valid, 2 if it is not or cannot be read."
     )
 
     @classmethod
--- a/src/dogwoodshed/_internal/configuration/document.py
+++ b/src/dogwoodshed/_internal/configuration/document.py
@@ -7,7 +7,10 @@
 
 import jsonc
 
-from dogwoodshed._internal.exceptions import DocumentSyntaxError
+from dogwoodshed._internal.exceptions import (
+    DocumentSyntaxError,
+    UnreadableFileError,
+)
 
 Path = tuple[str | int, ...]
 
@@ -37,9 +40,12 @@
 
 
 def read_document_text(path: str) -> str:
-    """Read a file as UTF-8; raises DocumentSyntaxError or OSError."""
-    with open(path, "rb") as file:
-        data = file.read()
+    """Read a file as UTF-8; raises UnreadableFileError or DocumentSyntaxError."""
+    try:
+        with open(path, "rb") as file:
+            data = file.read()
+    except OSError as error:
+        raise UnreadableFileError(path, error.strerror or str(error)) from error
     try:
         return data.decode()
     except UnicodeDecodeError as error:
--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -18,6 +18,14 @@
         self.line = line
 
 
+class UnreadableFileError(ConfigurationError):
+    """Raised when a configuration or settings file cannot be read."""
+
+    def __init__(self, path: str, reason: str) -> None:
+        super().__init__(f"{path}: cannot be read: {reason}")
+        self.path = path
+
+
 class InvalidDocumentError(ConfigurationError):
     """Raised when a configuration, host list or settings file fails validation."""
 
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -18,7 +18,7 @@
 
 DEFAULT_ROUTING = "slices"
 # Hosts with at least these resources have the full hub weight.
-FULL_HUB_WEIGHT_CORES = 0.8
+FULL_HUB_WEIGHT_CORES = 2.0
 # Time for the last responses and the end of the process, before it is killed. With 0.8
 # s, two of 16 processes were killed.
 STOP_RESERVE_S = 1.4
--- a/tests/functional/test_check.py
+++ b/tests/functional/test_check.py
@@ -157,6 +157,16 @@
 
 
 class CheckTest(unittest.TestCase):
+    def test_file_that_cannot_be_read(self):
+        """Guards against a message without the file, and against another exit code."""
+        path = Path("/nonexistent/services.jsonc")
+        result = run_check(path)
+        self.assertEqual(result.returncode, 2)
+        self.assertEqual(
+            result.stderr.strip(),
+            f"{path}: cannot be read: No such file or directory",
+        )
+
     def test_reports_only_the_error_with_its_line(self):
         """Guards against a wrong line, a missed error and consequential errors."""
         with tempfile.TemporaryDirectory() as directory:
