--- a/src/dogwoodshed/_internal/routing/delegating_router.py
+++ b/src/dogwoodshed/_internal/routing/delegating_router.py
@@ -68,6 +68,10 @@
         self.hub = pending.hub
         self.request_id = pending.request_id
 
+    def describe_choice(self) -> str:
+        """Return what the hub chose by, and which hub it was."""
+        return f"{super().describe_choice()} by {self.hub}"
+
 
 class _Pending(NamedTuple):
     """A request that the hub has not granted or refused yet."""
@@ -212,7 +216,8 @@
         reply: PlacementReply,
     ) -> DelegatedSlot:
         if reply.result != GRANTED:
-            error = error_of_refusal(reply.result, reply.detail)
+            detail = f"{reply.detail}, by {pending.hub}"
+            error = error_of_refusal(reply.result, detail)
             raise error or PlacementUnavailableError(reply.result)
         state = pool.states.get(reply.upstream_id)
         # This gateway may know already that the upstream leaves.
