Tell a gateway that joined early which hub its data centre has

It took itself for the hub for 2 s, placed its calls alone and probed beside the real hub; nobody told it until its seed had counted as silent and was dialled again. Change: each gateway tells a connected peer the hub of the peer's data centre when that is a third one. A change of the hub is a log line.

--- a/src/dogwoodshed/_internal/mesh/load_exchange.py
+++ b/src/dogwoodshed/_internal/mesh/load_exchange.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
+from absl import logging
+
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.mesh.codec import encode
 from dogwoodshed._internal.mesh.connection import PeerConnection
@@ -208,6 +210,7 @@
             connections[self._hub].send(GatewayLoad(self._own_sequence + 1))
         if self._hub == self._own.peer_id:
             self._load_sum.drop(self._own.peer_id)
+        logging.info("hub is now %s, after %s", hub or "unknown", self._hub or "none")
         self._hub = hub
         self._own_sequence = 0
         self._delegate.switch_hub(hub)
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -124,6 +124,8 @@
         self._last_seen_at: dict[str, float] = {}
         self._last_wanted_at: dict[str, float] = {}
         self._dialling: set[str] = set()
+        # The hub that each connected peer was told to use.
+        self._advised_hubs: dict[str, Member] = {}
         self._update_flood = UpdateFlood(self._hello, self._is_remote)
         self._load_exchange = LoadExchange(self._hello, self._roster, clock)
         self._snapshot_requester = SnapshotRequester(self._roster, clock, metrics)
@@ -205,6 +207,7 @@
         self._close_silent(now)
         self._dial_wanted(now)
         self._discover_peers(now)
+        self._advise_peers()
         if now - self._flushed_at >= KEEPALIVE_S - MAINTENANCE_INTERVAL_S:
             self._flush()
 
@@ -240,6 +243,20 @@
             member = self._random.choice(missing)
             self._schedule_dial(member.address, member.id)
 
+    def _advise_peers(self) -> None:
+        """Tell each peer the hub of its data centre, if that is a third gateway.
+
+        A peer that joined before it knew the other gateways of its data centre would
+        otherwise take itself, or this gateway, for the hub.
+        """
+        for peer_id, connection in self._connections.items():
+            hub = self._roster.hub(connection.hello.data_centre)
+            if hub is None or hub.id in (peer_id, self._hello.peer_id):
+                continue
+            if self._advised_hubs.get(peer_id) != hub:
+                self._advised_hubs[peer_id] = hub
+                connection.send(MemberList((hub,), 0, -1))
+
     def _schedule_dial(self, address: str, peer_id: str | None) -> None:
         if address in self._dialling or address == self._settings.mesh.listen:
             return
@@ -313,6 +330,7 @@
 
     def _unregister(self, peer_id: str) -> None:
         del self._connections[peer_id]
+        self._advised_hubs.pop(peer_id, None)
         self._update_flood.drop_peer(peer_id)
         self._load_exchange.drop_peer(peer_id)
         self._delegate.drop_peer(peer_id)
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -220,6 +220,27 @@
         }
         self.assertEqual(senders, {hub: 1})
 
+    async def test_gateway_that_joined_before_its_hub_learns_of_it(self):
+        """Guards against a gateway that goes on as the hub of its data centre.
+
+        After all gateways of a fleet were killed, one that had joined through another
+        data centre took itself for the hub for two seconds, and placed and probed
+        beside the real one.
+        """
+        await self.wait_until_joined()
+        # Older than the one that joins first, but not connected yet.
+        self.seeds, seeds = [], self.seeds
+        await self.start("g8", "dc2")
+        self.seeds = seeds
+        await self.start("g9", "dc2")
+        hub = self.overlays["g0"].roster
+        await self.wait_until(lambda: hub.hub("dc2") is not None)
+        self.overlays["g8"].set_seeds(tuple(seeds))
+        started = asyncio.get_running_loop().time()
+        await self.wait_until(lambda: self.overlays["g9"].hub == "g8")
+        await self.wait_until_joined()
+        self.assertLess(asyncio.get_running_loop().time() - started, 1.5)
+
     async def test_gateways_other_than_hubs_have_one_connection(self):
         """Guards against a number of connections quadratic in the fleet size."""
         await self.wait_until_joined()
