Close connections whose request head never ends

Cause: nothing bounded the time of a request head, so that a caller could hold connections without end. Change: limits.head_timeout_s, 10 s by default; the connection is closed, no request was read. Ruled out: trailers, chunk extensions, lines and bodies without end, which were cut off before. Result: test_endless_requests; its slow head failed before.

--- a/src/dogwoodshed/_internal/proxy/callers.py
+++ b/src/dogwoodshed/_internal/proxy/callers.py
@@ -9,15 +9,48 @@
 
 
 class CallerConnection(RequestHandler):
-    """Connection of a caller."""
+    """Connection of a caller; closed if the head of a request takes too long."""
 
-    __slots__ = ("metrics",)
+    __slots__ = ("_head_timer", "head_timeout", "metrics")
 
     @property
     def idle(self) -> bool:
         waiter = self._waiter
         return waiter is not None and not waiter.done()
 
+    @property
+    def _has_partial_head(self) -> bool:
+        # aiohttp has no public state for this; test_endless_requests fails if one of
+        # these attributes is removed.
+        waiter = self._waiter
+        is_waiting = waiter is None or not waiter.done()
+        return is_waiting and not self._messages and self._current_request is None
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes, and start or stop the timer of a head."""
+        super().data_received(data)
+        if not self._has_partial_head:
+            self._stop_timer()
+        elif self._head_timer is None:
+            self._head_timer = self._loop.call_later(
+                self.head_timeout, self._close_slow
+            )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Stop the timer of a connection that ended."""
+        self._stop_timer()
+        super().connection_lost(exc)
+
+    def _stop_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _close_slow(self) -> None:
+        # No request was read, so that the caller may send it again.
+        self.metrics.increment("requests.head_timeouts")
+        self.force_close()
+
     def handle_error(
         self,
         request: web.BaseRequest,
@@ -40,14 +73,19 @@
 class CallerConnections(web.Server):
     """Server that creates and tracks the connections of callers."""
 
-    def __init__(self, handler, metrics: Metrics, **options) -> None:
+    def __init__(
+        self, handler, metrics: Metrics, head_timeout: float, **options
+    ) -> None:
         super().__init__(handler, **options)
         self._metrics = metrics
+        self._head_timeout = head_timeout
 
     def __call__(self) -> CallerConnection:
         """Create the protocol instance of a new connection."""
         connection = CallerConnection(self, loop=self._loop, **self._kwargs)
         connection.metrics = self._metrics
+        connection.head_timeout = self._head_timeout
+        connection._head_timer = None
         return connection
 
     def close_idle(self) -> None:
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -138,6 +138,7 @@
         self._server = CallerConnections(
             self._handle,
             self._metrics,
+            self._limits.head_timeout_s,
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -125,6 +125,8 @@
     """Bounds on requests and buffers."""
 
     max_header_bytes: Annotated[int, Meta(ge=256)] = 16_384
+    # From the first byte of a request until its head is complete.
+    head_timeout_s: Annotated[float, Meta(gt=0)] = 10.0
     max_body_bytes: Annotated[int, Meta(ge=0)] = 64 * 1024 * 1024
     replay_body_bytes: Annotated[int, Meta(ge=0)] = 65_536
     # Longer response bodies are cut off, as are those of unknown length that have not
