--- a/tests/unit/test_placement_by_hub.py
+++ b/tests/unit/test_placement_by_hub.py
@@ -1,6 +1,7 @@
 """Test that the hub places calls, and what happens without it."""
 
 import asyncio
+import time
 import unittest
 from collections import Counter
 
@@ -15,7 +16,10 @@
     PlacementReply,
 )
 from dogwoodshed._internal.routing.base import LoadReport, Outcome, OutcomeStatus
-from dogwoodshed._internal.routing.delegating_router import DelegatedSlot
+from dogwoodshed._internal.routing.delegating_router import (
+    REPLY_TIMEOUT_S,
+    DelegatedSlot,
+)
 from tests.lib.fleet_builders import usable_upstream
 from tests.lib.placement_fleet import HUB, PlacementFleet
 
@@ -108,6 +112,23 @@
         await run_pending()
         self.assertEqual(fleet.calls_at_hub(), [0, 0])
 
+    async def test_reply_just_after_the_timeout(self):
+        """Guards against an error that would close the connection to the hub."""
+        fleet = PlacementFleet(1, 2)
+        fleet.links["g0"].paused = True
+        router = fleet.gateways["g0"]
+        loop = asyncio.get_running_loop()
+        errors = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        task = asyncio.create_task(self.acquire(fleet))
+        await asyncio.sleep(0)
+        reply = PlacementReply(1, "queued")
+        loop.call_later(REPLY_TIMEOUT_S + 0.001, router.handle_reply, HUB, reply)
+        # Both timers are due when the loop runs again.
+        time.sleep(REPLY_TIMEOUT_S + 0.02)
+        self.assertNotIsInstance(await task, DelegatedSlot)
+        self.assertEqual(errors, [])
+
     async def test_lost_hub_while_the_call_is_queued(self):
         """Guards against queued calls that are lost with their hub."""
         fleet = PlacementFleet(2, 1)
