Send members and updates only to the hubs of other data centres

Cause: each gateway that starts dials seeds in other data centres. On 312 hosts 0.3 GB crossed data centres, and one process took 270 MB, more than its host has on a third of the machines. Change: a peer in another data centre gets the hubs as members, and updates only if it is the hub there.

--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -126,7 +126,9 @@
         self._dialling: set[str] = set()
         # The hub that each connected peer was told to use.
         self._advised_hubs: dict[str, Member] = {}
-        self._update_flood = UpdateFlood(self._hello, self._is_remote)
+        self._update_flood = UpdateFlood(
+            self._hello, self._is_remote, self._is_remote_hub
+        )
         self._load_exchange = LoadExchange(self._hello, self._roster, clock)
         self._snapshot_requester = SnapshotRequester(self._roster, clock, metrics)
         self._flush_timer: asyncio.TimerHandle | None = None
@@ -363,9 +365,11 @@
             hello.hub_weight,
         )
         self._roster.record_live((member,))
-        connection.send(
-            MemberList(self._roster.live, **self._delegate.directory_progress())
-        )
+        # A peer in another data centre needs only the hubs: its own hub sends it the
+        # other members, and traffic between data centres is billed.
+        is_remote = self._is_remote(hello.peer_id)
+        members = self._roster.hubs if is_remote else self._roster.live
+        connection.send(MemberList(members, **self._delegate.directory_progress()))
         self.publish()
         return True
 
@@ -424,6 +428,13 @@
             and connection.hello.data_centre != self._hello.data_centre
         )
 
+    def _is_remote_hub(self, peer_id: str) -> bool:
+        connection = self._connections.get(peer_id)
+        if connection is None or not self._is_remote(peer_id):
+            return False
+        hub = self._roster.hub(connection.hello.data_centre)
+        return hub is not None and hub.id == peer_id
+
     def _close_silent(self, now: float) -> None:
         for peer_id, connection in list(self._connections.items()):
             if now - self._last_seen_at[peer_id] > SILENCE_TIMEOUT_S:
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -62,6 +62,11 @@
     def known(self) -> tuple[Member, ...]:
         return tuple(self._members.values())
 
+    @property
+    def hubs(self) -> tuple[Member, ...]:
+        """The hub of each data centre."""
+        return tuple(self._hubs())
+
     @property
     def members(self) -> Members:
         return self._members_view
--- a/src/dogwoodshed/_internal/mesh/update_flood.py
+++ b/src/dogwoodshed/_internal/mesh/update_flood.py
@@ -10,12 +10,19 @@
     """Number own updates, drop duplicates, and queue updates for each peer.
 
     All hubs are connected with each other, so an update from a hub of another data
-    centre is forwarded only to the gateways of this data centre.
+    centre is forwarded only to the gateways of this data centre, and a gateway of
+    another data centre that is not its hub gets no updates.
     """
 
-    def __init__(self, own: Hello, is_remote: Callable[[str], bool]) -> None:
+    def __init__(
+        self,
+        own: Hello,
+        is_remote: Callable[[str], bool],
+        is_remote_hub: Callable[[str], bool],
+    ) -> None:
         self._own = own
         self._is_remote = is_remote
+        self._is_remote_hub = is_remote_hub
         self._sequence = 0
         # By origin and incarnation: sequence numbers start again after a restart, and
         # the new incarnation is lower if the clock was set back.
@@ -36,8 +43,9 @@
         update = GatewayUpdate(
             self._own.peer_id, self._own.incarnation, self._sequence, **fields
         )
-        for pending in self._pending.values():
-            pending.append(update)
+        for peer_id, pending in self._pending.items():
+            if not self._is_remote(peer_id) or self._is_remote_hub(peer_id):
+                pending.append(update)
 
     def queue_received_update(self, peer_id: str, update: GatewayUpdate) -> bool:
         """Queue a received update for other peers; return False for a duplicate."""
@@ -51,7 +59,9 @@
         for other, pending in self._pending.items():
             if other in (peer_id, update.origin):
                 continue
-            if not (from_remote and self._is_remote(other)):
+            if not self._is_remote(other) or (
+                not from_remote and self._is_remote_hub(other)
+            ):
                 pending.append(update)
         return True
 
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -5,7 +5,13 @@
 import unittest
 
 from dogwoodshed._internal.clock import SystemClock
-from dogwoodshed._internal.mesh.messages import DirectorySnapshot, InFlightCalls
+from dogwoodshed._internal.mesh.codec import Decoder, encode
+from dogwoodshed._internal.mesh.messages import (
+    DirectorySnapshot,
+    Hello,
+    InFlightCalls,
+    MemberList,
+)
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.mesh.roster import DEAD_AFTER_S
 from dogwoodshed._internal.settings import Settings
@@ -220,6 +226,27 @@
         }
         self.assertEqual(senders, {hub: 1})
 
+    async def test_only_hubs_are_listed_to_another_data_centre(self):
+        """Guards against sending all members to each gateway that starts.
+
+        When 312 hosts start, each dials seeds in other data centres.
+        """
+        await self.wait_until_joined()
+        ip, _, port = self.seeds[0].rpartition(":")
+        reader, writer = await asyncio.open_connection(ip, int(port))
+        writer.write(encode(Hello(1, "x", 1, "dc9", address="127.0.0.1:1")))
+        decoder = Decoder()
+        lists = []
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while not lists:
+                envelopes = decoder.feed(await reader.read(65_536))
+                messages = [envelope.message for envelope in envelopes]
+                lists = [m for m in messages if isinstance(m, MemberList)]
+        writer.close()
+        hubs = {self.overlays["g0"].roster.hub(f"dc{n}").id for n in range(2)}
+        listed = {member.id for member in lists[0].members}
+        self.assertLessEqual(listed - {"x"}, hubs)
+
     async def test_gateway_that_joined_before_its_hub_learns_of_it(self):
         """Guards against a gateway that goes on as the hub of its data centre.
 
