Test merged loads, and a service that is removed while a call waits at the hub

The hub's task could start after the configuration had removed the service; the call then waited for its deadline. Written beside the code, not shown failing.

--- a/src/dogwoodshed/_internal/mesh/load_exchange.py
+++ b/src/dogwoodshed/_internal/mesh/load_exchange.py
@@ -261,6 +261,7 @@
         This gateway is itself one of those that it serves.
         """
         for gateway_id, sequence in self._received_sequences.items():
+            # In one write, since a hub sends to all gateways several times a second.
             acknowledgement = encode(LoadAcknowledgement(sequence))
             connections[gateway_id].send_encoded_load(acknowledgement + data)
         self._delegate.record_acknowledgement(self._own.peer_id, self._own_sequence)
--- a/src/dogwoodshed/_internal/routing/shared_router.py
+++ b/src/dogwoodshed/_internal/routing/shared_router.py
@@ -165,7 +165,10 @@
 
     async def wait_for_slot(self, call: Call, exclude: frozenset[str]) -> PlacedSlot:
         """Queue a call until it gets a slot; raises NotRunError."""
-        pool = self._pools[call.service.name]
+        pool = self._pools.get(call.service.name)
+        if pool is None:
+            # A configuration without the service came into effect meanwhile.
+            raise NoUpstreamError(call.service.name)
         future = asyncio.get_running_loop().create_future()
         waiter = Waiter(call, future, exclude)
         evicted = pool.queue.push(waiter)
--- a/tests/unit/test_load_sum.py
+++ b/tests/unit/test_load_sum.py
@@ -2,8 +2,9 @@
 
 import unittest
 
-from dogwoodshed._internal.mesh.load_sum import LoadSum
+from dogwoodshed._internal.mesh.load_sum import LoadSum, merge_loads
 from dogwoodshed._internal.mesh.messages import (
+    DataCentreLoad,
     GatewayLoad,
     InFlightCalls,
     UpstreamReport,
@@ -74,3 +75,35 @@
         self.sum.record("b", gateway_load([UpstreamReport("u", 0, 1, 0)]))
         fields = self.sum.compose("gateways", full=False)
         self.assertEqual(fields["reports"], (UpstreamReport("u", 150, 3, 1),))
+
+
+class MergeLoadsTest(unittest.TestCase):
+    def load(self, sequence, *, incarnation=1, **fields):
+        return DataCentreLoad("hub", incarnation, sequence, **fields)
+
+    def test_later_counts_replace_earlier_ones(self):
+        """Guards against a change that is lost when two loads are sent as one."""
+        earlier = self.load(
+            1, in_flight=(InFlightCalls("a", 1), InFlightCalls("b", 2)), full=True
+        )
+        later = self.load(2, in_flight=(InFlightCalls("a", 0),))
+        merged = merge_loads(earlier, later)
+        self.assertEqual(
+            set(merged.in_flight), {InFlightCalls("a", 0), InFlightCalls("b", 2)}
+        )
+        self.assertTrue(merged.full)
+        self.assertEqual(merged.sequence, 2)
+
+    def test_complete_load_replaces_earlier_counts_and_keeps_reports(self):
+        """Guards against calls that ended before the complete load."""
+        reports = (UpstreamReport("a", 120, 0, 1),)
+        earlier = self.load(1, in_flight=(InFlightCalls("a", 1),), reports=reports)
+        merged = merge_loads(earlier, self.load(2, full=True))
+        self.assertEqual(merged.in_flight, ())
+        self.assertEqual(merged.reports, reports)
+
+    def test_loads_of_two_runs_are_not_merged(self):
+        """Guards against the counts of a hub before its restart."""
+        earlier = self.load(9, in_flight=(InFlightCalls("a", 1),))
+        later = self.load(1, incarnation=2, full=True)
+        self.assertEqual(merge_loads(earlier, later), later)
--- a/tests/unit/test_placement_by_hub.py
+++ b/tests/unit/test_placement_by_hub.py
@@ -204,6 +204,18 @@
         slot = await self.acquire(fleet)
         self.assertNotIsInstance(slot, DelegatedSlot)
 
+    async def test_service_that_is_removed_while_a_call_is_queued(self):
+        """Guards against a call that waits until its deadline for an answer."""
+        fleet = PlacementFleet(2, 1)
+        for _ in range(2):
+            await self.acquire(fleet, "g1")
+        task = asyncio.create_task(self.acquire(fleet))
+        await asyncio.sleep(0)
+        # Runs after the request was queued, before the hub's task has started.
+        asyncio.get_running_loop().call_soon(fleet.hub._pools.clear)
+        async with asyncio.timeout(0.5):
+            self.assertNotIsInstance(await task, DelegatedSlot)
+
     async def test_calls_placed_by_the_hub_are_not_counted_twice(self):
         """Guards against sums that contain a call of hub and gateway."""
         fleet = PlacementFleet(1, 1)
