Stream a long response to a keyed call within the limits again

Change: the wrapper goes; the bytes read so far are the prefix of the response, as for one of unknown length. The unit test read them through the wrapper and now reads the prefix and the rest: it still compares all bytes.

--- a/src/dogwoodshed/_internal/idempotency/stored_responses.py
+++ b/src/dogwoodshed/_internal/idempotency/stored_responses.py
@@ -1,6 +1,5 @@
 """Identify keyed calls and encode their responses for storage."""
 
-from collections.abc import AsyncIterator
 from hashlib import blake2b
 
 import aiohttp
@@ -68,8 +67,8 @@
     client_response = response.client_response
     if client_response is None:
         return response
-    parts: list[bytes] = []
-    size = 0
+    parts = [response.prefix]
+    size = len(response.prefix)
     status = OutcomeStatus.CANCELLED
     try:
         async for part in client_response.content.iter_any():
@@ -77,9 +76,7 @@
             size += len(part)
             if size > MAX_RESPONSE_BYTES:
                 status = None
-                response.client_response = _PrefixedResponse(
-                    b"".join(parts), client_response
-                )
+                response.prefix = b"".join(parts)
                 return response
         status = OutcomeStatus.ANSWERED
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -94,28 +91,6 @@
     return response
 
 
-class _PrefixedResponse:
-    """Stream a response whose first bytes have already been read."""
-
-    def __init__(self, prefix: bytes, response: aiohttp.ClientResponse) -> None:
-        self._prefix = prefix
-        self._response = response
-
-    @property
-    def content(self) -> "_PrefixedResponse":
-        return self
-
-    async def iter_any(self) -> AsyncIterator[bytes]:
-        """Yield the bytes already read, then the rest."""
-        yield self._prefix
-        async for part in self._response.content.iter_any():
-            yield part
-
-    def close(self) -> None:
-        """Close the connection to the upstream."""
-        self._response.close()
-
-
 def _digest(*parts: bytes) -> bytes:
     digest = blake2b(digest_size=_DIGEST_BYTES)
     for part in parts:
--- a/src/dogwoodshed/_internal/proxy/upstream_messages.py
+++ b/src/dogwoodshed/_internal/proxy/upstream_messages.py
@@ -49,7 +49,7 @@
         self.status = status
         self.headers = response_headers
         self.body = body
-        # Start of a streaming body that was read before its length was known.
+        # Start of a streaming body that was read to find out whether it is short.
         self.prefix = prefix
         self.reason = reason
         self.silent = False
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -366,7 +366,8 @@
             response = await buffer_response(response)
             if response.client_response is None:
                 return response.body
-            return [part async for part in response.client_response.content.iter_any()]
+            rest = [part async for part in response.client_response.content.iter_any()]
+            return [response.prefix, *rest]
 
         return run_in_virtual_time(read)
 
