Make the replay of calls that arrive together independent of the machine's speed

The sixty choices of the replay take 15 ms in one process; if they take longer than the 80 ms within which a hub must reply, gateways place calls themselves, which the test does not mean to replay. Shown: with a time limit of 20 ms or more 2 calls at the busiest upstream and no timeout, with 10 ms 17 to 22 calls and 36 to 50 timeouts. Change: the time limit is 10 s in this test, and it asserts that no reply timed out; the bound stays.

--- a/tests/unit/test_placement_by_hub.py
+++ b/tests/unit/test_placement_by_hub.py
@@ -4,6 +4,7 @@
 import time
 import unittest
 from collections import Counter
+from unittest.mock import patch
 
 from dogwoodshed._internal.exceptions import (
     DeadlineUnreachableError,
@@ -15,6 +16,7 @@
     InFlightCalls,
     PlacementReply,
 )
+from dogwoodshed._internal.routing import delegating_router
 from dogwoodshed._internal.routing.base import LoadReport, Outcome, OutcomeStatus
 from dogwoodshed._internal.routing.delegating_router import (
     REPLY_TIMEOUT_S,
@@ -52,9 +54,13 @@
             if not by_hub:
                 for link in fleet.links.values():
                     link.hub = ""
-            slots = await asyncio.gather(
-                *(self.acquire(fleet, name) for name in fleet.gateways)
-            )
+            # On a busy machine, the sixty choices in one process take longer than a hub
+            # may take for its reply.
+            with patch.object(delegating_router, "REPLY_TIMEOUT_S", 10.0):
+                slots = await asyncio.gather(
+                    *(self.acquire(fleet, name) for name in fleet.gateways)
+                )
+            self.assertNotIn("placement.timeouts", fleet.metrics.counts)
             busiest = max(Counter(slot.upstream.id for slot in slots).values())
             with self.subTest(by_hub=by_hub):
                 if by_hub:
