Split messages, overlay and shared router by their jobs

Messages: those of the full mesh, of fleets that find themselves and of places, and the table of codes, stand in four modules; the codes, fields and defaults are the same (compared by script). Overlay: whom to dial is the peer finder's, handling of messages, by singledispatch, is that of inbound messages, the delegate has a module. No behaviour is meant to change.

--- a/bench/slopes/heartbeat.py
+++ b/bench/slopes/heartbeat.py
@@ -2,7 +2,10 @@
 
 from bench.slopes.base import Point, min_cpu_time
 from dogwoodshed._internal.mesh.codec import Decoder, encode
-from dogwoodshed._internal.mesh.messages import Heartbeat, ServiceLoad
+from dogwoodshed._internal.mesh.messages import (
+    Heartbeat,
+    ServiceLoad,
+)
 
 AXIS = "services"
 SERVICES = (3, 30, 100, 280)
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -15,7 +15,7 @@
     UpstreamEntry,
 )
 from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DirectoryEntry,
     DirectorySnapshot,
     GatewayUpdate,
--- a/src/dogwoodshed/_internal/drains.py
+++ b/src/dogwoodshed/_internal/drains.py
@@ -8,7 +8,9 @@
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.model import Configuration
 from dogwoodshed._internal.discovery.host_list import HostList
-from dogwoodshed._internal.mesh.messages import DrainState
+from dogwoodshed._internal.mesh.messages import (
+    DrainState,
+)
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.routing.base import LoadReport
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -16,7 +16,9 @@
 from dogwoodshed._internal.endpoints import EndpointServer
 from dogwoodshed._internal.event_log import EventLog
 from dogwoodshed._internal.membership import STATE_JOINING, STATE_LEAVING, STATE_READY
-from dogwoodshed._internal.mesh.messages import DataCentreLoad
+from dogwoodshed._internal.mesh.fleet_messages import (
+    DataCentreLoad,
+)
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.probing.prober import Prober
--- a/src/dogwoodshed/_internal/idempotency/claimant.py
+++ b/src/dogwoodshed/_internal/idempotency/claimant.py
@@ -13,7 +13,11 @@
 from dogwoodshed._internal.idempotency.claim_registry import ClaimAttempt, ClaimRegistry
 from dogwoodshed._internal.idempotency.holders import holder_set_digest
 from dogwoodshed._internal.idempotency.records import State
-from dogwoodshed._internal.mesh.messages import Claim, KeyLookup, KeyState
+from dogwoodshed._internal.mesh.messages import (
+    Claim,
+    KeyLookup,
+    KeyState,
+)
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
--- a/src/dogwoodshed/_internal/membership.py
+++ b/src/dogwoodshed/_internal/membership.py
@@ -6,7 +6,10 @@
 from absl import logging
 
 from dogwoodshed._internal.clock import Clock
-from dogwoodshed._internal.mesh.messages import Heartbeat, Hello
+from dogwoodshed._internal.mesh.messages import (
+    Heartbeat,
+    Hello,
+)
 from dogwoodshed._internal.settings import Settings
 
 
--- a/src/dogwoodshed/_internal/mesh/codec.py
+++ b/src/dogwoodshed/_internal/mesh/codec.py
@@ -9,7 +9,9 @@
 import msgspec
 
 from dogwoodshed._internal.exceptions import ProtocolError
-from dogwoodshed._internal.mesh.messages import CODES
+from dogwoodshed._internal.mesh.message_codes import (
+    CODES,
+)
 
 # Larger than any message: a configuration text is at most a megabyte, and minute
 # summaries are sent in smaller parts.
--- a/src/dogwoodshed/_internal/mesh/connection.py
+++ b/src/dogwoodshed/_internal/mesh/connection.py
@@ -10,7 +10,14 @@
     ProtocolError,
 )
 from dogwoodshed._internal.mesh.codec import Decoder, Envelope, encode
-from dogwoodshed._internal.mesh.messages import FleetLoad, GatewayLoad, Heartbeat, Hello
+from dogwoodshed._internal.mesh.fleet_messages import (
+    FleetLoad,
+    GatewayLoad,
+)
+from dogwoodshed._internal.mesh.messages import (
+    Heartbeat,
+    Hello,
+)
 
 READ_BYTES = 65_536
 # Write buffer size above which heartbeats and loads are dropped, since later ones
--- a/src/dogwoodshed/_internal/mesh/load_exchange.py
+++ b/src/dogwoodshed/_internal/mesh/load_exchange.py
@@ -8,15 +8,17 @@
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.mesh.codec import encode
 from dogwoodshed._internal.mesh.connection import PeerConnection
-from dogwoodshed._internal.mesh.load_sum import LoadSum, merge_loads
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
     FleetLoad,
     GatewayLoad,
-    Hello,
     LoadAcknowledgement,
     Member,
 )
+from dogwoodshed._internal.mesh.load_sum import LoadSum, merge_loads
+from dogwoodshed._internal.mesh.messages import (
+    Hello,
+)
 from dogwoodshed._internal.mesh.roster import FleetRoster
 
 # Minimum time between two messages to other data centres: the traffic between data
--- a/src/dogwoodshed/_internal/mesh/load_sum.py
+++ b/src/dogwoodshed/_internal/mesh/load_sum.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
     GatewayLoad,
     InFlightCalls,
--- /dev/null
+++ b/src/dogwoodshed/_internal/mesh/message_codes.py
@@ -0,0 +1,71 @@
+"""Assign codes to the messages between gateways."""
+
+from dogwoodshed._internal.mesh.fleet_messages import (
+    DirectorySnapshot,
+    FleetLoad,
+    GatewayLoad,
+    LoadAcknowledgement,
+    MemberList,
+    SnapshotRequest,
+    UpdateBatch,
+)
+from dogwoodshed._internal.mesh.messages import (
+    Acknowledgement,
+    BorrowReply,
+    BorrowRequest,
+    Claim,
+    DocumentReply,
+    DocumentRequest,
+    DrainState,
+    Heartbeat,
+    Hello,
+    KeyLookup,
+    KeyRecords,
+    KeyRecordsRequest,
+    KeyResult,
+    KeyState,
+    LeaseReturn,
+    Leaving,
+    SummaryPush,
+    SummaryReply,
+    SummaryRequest,
+)
+from dogwoodshed._internal.mesh.placement_messages import (
+    PlacementEnd,
+    PlacementReply,
+    PlacementRequest,
+)
+
+# Codes are part of the protocol and are never reused.
+CODES: dict[int, type] = {
+    1: Hello,
+    2: Heartbeat,
+    3: Leaving,
+    4: DocumentRequest,
+    5: DocumentReply,
+    6: BorrowRequest,
+    7: BorrowReply,
+    8: LeaseReturn,
+    9: DrainState,
+    10: Claim,
+    11: KeyState,
+    12: KeyResult,
+    13: KeyLookup,
+    14: KeyRecords,
+    15: SummaryPush,
+    16: SummaryRequest,
+    17: SummaryReply,
+    18: Acknowledgement,
+    19: KeyRecordsRequest,
+    20: MemberList,
+    # 21 was a batch of updates that contained the load of each gateway separately.
+    22: SnapshotRequest,
+    23: DirectorySnapshot,
+    24: UpdateBatch,
+    25: GatewayLoad,
+    26: FleetLoad,
+    27: LoadAcknowledgement,
+    28: PlacementRequest,
+    29: PlacementReply,
+    30: PlacementEnd,
+}
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -1,9 +1,8 @@
 """Connect the gateways of a fleet in a tree of hubs, one for each data centre."""
 
 import asyncio
-import random
 import time
-from typing import Any, Protocol
+from typing import Any
 
 from mode import Service
 
@@ -12,27 +11,21 @@
 from dogwoodshed._internal.exceptions import MeshError
 from dogwoodshed._internal.membership import STATE_LEAVING
 from dogwoodshed._internal.mesh.connection import PeerConnection
+from dogwoodshed._internal.mesh.fleet_messages import (
+    Member,
+    MemberList,
+)
+from dogwoodshed._internal.mesh.inbound_messages import InboundMessages
 from dogwoodshed._internal.mesh.load_exchange import (
     KEEPALIVE_S,
-    LoadDelegate,
     LoadExchange,
 )
 from dogwoodshed._internal.mesh.messages import (
     PROTOCOL_VERSION,
-    DirectorySnapshot,
-    FleetLoad,
-    GatewayLoad,
-    GatewayUpdate,
     Hello,
-    LoadAcknowledgement,
-    Member,
-    MemberList,
-    PlacementEnd,
-    PlacementReply,
-    PlacementRequest,
-    SnapshotRequest,
-    UpdateBatch,
 )
+from dogwoodshed._internal.mesh.overlay_delegate import OverlayDelegate
+from dogwoodshed._internal.mesh.peer_finder import PeerAddress, PeerFinder
 from dogwoodshed._internal.mesh.roster import FleetRoster
 from dogwoodshed._internal.mesh.snapshot_requester import SnapshotRequester
 from dogwoodshed._internal.mesh.update_flood import UpdateFlood
@@ -49,45 +42,6 @@
 SILENCE_TIMEOUT_S = 1.0
 CONNECT_TIMEOUT_S = 0.3
 MAINTENANCE_INTERVAL_S = 0.1
-# Interval at which a hub dials seeds and known gateways that are not live.
-DISCOVERY_INTERVAL_S = 1.0
-# A connection that is no longer needed stays open until its peer has another one.
-UNUSED_CONNECTION_TIMEOUT_S = 2.0
-
-
-class OverlayDelegate(LoadDelegate, Protocol):
-    """Provide the updates and loads of this gateway and apply those of others."""
-
-    @property
-    def directory_revision(self) -> int:
-        """Return the revision of the directory data of this gateway."""
-
-    def compose_update(self) -> dict[str, Any] | None:
-        """Return the fields of the next update, or None if nothing changed."""
-
-    def apply_update(self, update: GatewayUpdate) -> None:
-        """Apply the update of another gateway."""
-
-    def snapshot(self) -> DirectorySnapshot:
-        """Return all directory data of this gateway."""
-
-    def handle_placement_request(self, peer_id: str, request: PlacementRequest) -> None:
-        """Place a call of another gateway."""
-
-    def handle_placement_reply(self, peer_id: str, reply: PlacementReply) -> None:
-        """Use the place that the hub grants, or place the call here."""
-
-    def handle_placement_end(self, peer_id: str, end: PlacementEnd) -> None:
-        """Free the place of a call of another gateway."""
-
-    def drop_peer(self, peer_id: str) -> None:
-        """Free the places of a peer whose connection ended."""
-
-    def apply_snapshot(self, snapshot: DirectorySnapshot, *, announce: bool) -> None:
-        """Apply the directory data of a peer; announce new data if `announce`."""
-
-    def record_peer_progress(self, revision: int, age_ms: int) -> None:
-        """Record the revision and age of the directory data of a peer."""
 
 
 class Overlay(Service):
@@ -100,8 +54,6 @@
         self._settings = settings
         self._clock = clock
         self._metrics = metrics
-        self._random = random.Random()
-        self._seeds = settings.mesh.seeds
         incarnation = time.time_ns() // 1000
         own = Member(
             settings.id,
@@ -119,10 +71,10 @@
             hub_weight=own.hub_weight,
         )
         self._roster = FleetRoster(own, clock)
+        self._finder = PeerFinder(self._roster, own.address, settings.mesh.seeds)
         self._delegate: OverlayDelegate | None = None
         self._connections: dict[str, PeerConnection] = {}
         self._last_seen_at: dict[str, float] = {}
-        self._last_wanted_at: dict[str, float] = {}
         self._dialling: set[str] = set()
         # The hub that each connected peer was told to use.
         self._advised_hubs: dict[str, Member] = {}
@@ -133,7 +85,6 @@
         self._snapshot_requester = SnapshotRequester(self._roster, clock, metrics)
         self._flush_timer: asyncio.TimerHandle | None = None
         self._flushed_at = float("-inf")
-        self._last_discovery_at = float("-inf")
         self._listener: asyncio.Server | None = None
 
     @property
@@ -165,10 +116,19 @@
         """Set the delegate that provides and applies loads and updates."""
         self._delegate = delegate
         self._load_exchange.attach(delegate)
+        self._inbound = InboundMessages(
+            self._roster,
+            self._load_exchange,
+            self._update_flood,
+            self._snapshot_requester,
+            delegate,
+            dial_wanted=self._dial_wanted,
+            schedule_flush=self._schedule_flush,
+        )
 
     def set_seeds(self, seeds: tuple[str, ...]) -> None:
         """Replace the addresses of the seeds after a change of the settings."""
-        self._seeds = seeds
+        self._finder.set_seeds(seeds)
 
     def publish(self) -> None:
         """Schedule a flush of changed loads and updates."""
@@ -207,43 +167,23 @@
         now = self._clock.monotonic()
         self._roster.refresh()
         self._close_silent(now)
-        self._dial_wanted(now)
+        self._dial_wanted()
         self._discover_peers(now)
         self._advise_peers()
         if now - self._flushed_at >= KEEPALIVE_S - MAINTENANCE_INTERVAL_S:
             self._flush()
 
-    def _dial_wanted(self, now: float) -> None:
-        wanted = self._roster.peers_to_connect()
-        for member in wanted:
-            self._last_wanted_at[member.id] = now
-            if member.id not in self._connections:
-                self._schedule_dial(member.address, member.id)
+    def _dial_wanted(self) -> None:
+        now = self._clock.monotonic()
+        for peer in self._finder.wanted(self._connections, now):
+            self._schedule_dial(peer)
         for peer_id, connection in list(self._connections.items()):
-            unused_for = now - self._last_wanted_at.setdefault(peer_id, now)
-            if connection.dialled and unused_for > UNUSED_CONNECTION_TIMEOUT_S:
+            if connection.dialled and self._finder.is_unused(peer_id, now):
                 connection.close()
 
     def _discover_peers(self, now: float) -> None:
-        """Dial seeds and a known gateway that is not live, if isolated or a hub."""
-        isolated = not self._connections
-        if not (isolated or self._roster.is_hub):
-            return
-        if now - self._last_discovery_at < (
-            DISCOVERY_INTERVAL_S if not isolated else 2 * MAINTENANCE_INTERVAL_S
-        ):
-            return
-        self._last_discovery_at = now
-        self._roster.forget_old()
-        live = {member.id for member in self._roster.live}
-        live_addresses = {member.address for member in self._roster.live}
-        for seed in self._seeds:
-            if seed not in live_addresses and seed != self._settings.mesh.listen:
-                self._schedule_dial(seed, None)
-        missing = [member for member in self._roster.known if member.id not in live]
-        if missing:
-            member = self._random.choice(missing)
-            self._schedule_dial(member.address, member.id)
+        for peer in self._finder.discover(isolated=not self._connections, now=now):
+            self._schedule_dial(peer)
 
     def _advise_peers(self) -> None:
         """Tell each peer the hub of its data centre, if that is a third gateway.
@@ -259,25 +199,29 @@
                 self._advised_hubs[peer_id] = hub
                 connection.send(MemberList((hub,), 0, -1))
 
-    def _schedule_dial(self, address: str, peer_id: str | None) -> None:
-        if address in self._dialling or address == self._settings.mesh.listen:
+    def _schedule_dial(self, peer: PeerAddress) -> None:
+        if peer.address in self._dialling or (
+            peer.address == self._settings.mesh.listen
+        ):
             return
-        self._dialling.add(address)
-        self.add_future(self._dial(address, peer_id))
+        self._dialling.add(peer.address)
+        self.add_future(self._dial(peer))
 
-    async def _dial(self, address: str, peer_id: str | None) -> None:
+    async def _dial(self, peer: PeerAddress) -> None:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(*split_address(address))
+                reader, writer = await asyncio.open_connection(
+                    *split_address(peer.address)
+                )
                 connection = await self._open(reader, writer, dialled=True)
         except (OSError, MeshError):
             # TimeoutError is an OSError. The roster chooses another hub.
             self._metrics.increment("overlay.dial_failed")
-            if peer_id is not None:
-                self._roster.record_unreachable(peer_id)
+            if peer.id is not None:
+                self._roster.record_unreachable(peer.id)
             return
         finally:
-            self._dialling.discard(address)
+            self._dialling.discard(peer.address)
         await self._serve(connection)
 
     async def _accept(
@@ -326,7 +270,7 @@
                     hello.peer_id, hello.incarnation, leaving=False
                 )
                 for envelope in envelopes:
-                    self._handle(connection, envelope.message)
+                    self._inbound.handle(envelope.message, connection)
         except (OSError, MeshError):
             self._metrics.increment("overlay.connections_broken")
 
@@ -354,7 +298,8 @@
             self._unregister(hello.peer_id)
         now = self._clock.monotonic()
         self._connections[hello.peer_id] = connection
-        self._last_seen_at[hello.peer_id] = self._last_wanted_at[hello.peer_id] = now
+        self._last_seen_at[hello.peer_id] = now
+        self._finder.record_connected(hello.peer_id, now)
         self._update_flood.add_peer(hello.peer_id)
         self._load_exchange.add_peer(remote=self._is_remote(hello.peer_id))
         member = Member(
@@ -373,54 +318,6 @@
         self.publish()
         return True
 
-    def _handle(self, connection: PeerConnection, message: Any) -> None:
-        peer_id = connection.hello.peer_id
-        if isinstance(message, PlacementRequest):
-            self._delegate.handle_placement_request(peer_id, message)
-        elif isinstance(message, PlacementReply):
-            self._delegate.handle_placement_reply(peer_id, message)
-        elif isinstance(message, PlacementEnd):
-            self._delegate.handle_placement_end(peer_id, message)
-        elif isinstance(message, FleetLoad):
-            self._load_exchange.handle_fleet_load(peer_id, message)
-            self._schedule_flush_as_hub()
-        elif isinstance(message, GatewayLoad):
-            self._load_exchange.handle_gateway_load(peer_id, message)
-            self._schedule_flush()
-        elif isinstance(message, LoadAcknowledgement):
-            self._load_exchange.handle_acknowledgement(peer_id, message)
-        elif isinstance(message, UpdateBatch):
-            for update in message.updates:
-                self._handle_update(peer_id, update)
-        elif isinstance(message, MemberList):
-            self._handle_member_list(connection, message)
-        elif isinstance(message, DirectorySnapshot):
-            # Other gateways request the snapshot from their hub themselves. If each
-            # forwarded it, a starting fleet would send everything from every gateway.
-            self._delegate.apply_snapshot(message, announce=self._roster.is_hub)
-        elif isinstance(message, SnapshotRequest):
-            connection.send(self._delegate.snapshot())
-
-    def _handle_member_list(
-        self, connection: PeerConnection, member_list: MemberList
-    ) -> None:
-        self._roster.record_live(member_list.members)
-        self._dial_wanted(self._clock.monotonic())
-        is_behind = member_list.directory_revision > self._delegate.directory_revision
-        self._delegate.record_peer_progress(
-            member_list.directory_revision, member_list.directory_age_ms
-        )
-        if is_behind:
-            self._snapshot_requester.request_from_new_peer(connection)
-
-    def _handle_update(self, peer_id: str, update: GatewayUpdate) -> None:
-        if not self._update_flood.queue_received_update(peer_id, update):
-            return
-        leaving = update.state == STATE_LEAVING
-        self._roster.record_seen(update.origin, update.incarnation, leaving=leaving)
-        self._delegate.apply_update(update)
-        self._schedule_flush()
-
     def _is_remote(self, peer_id: str) -> bool:
         connection = self._connections.get(peer_id)
         return (
@@ -454,10 +351,6 @@
         loop = asyncio.get_running_loop()
         self._flush_timer = loop.call_later(max(0.0, delay), self._flush)
 
-    def _schedule_flush_as_hub(self) -> None:
-        if self._roster.is_hub:
-            self._schedule_flush()
-
     def _flush(self) -> None:
         if self._flush_timer is not None:
             self._flush_timer.cancel()
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -6,7 +6,9 @@
 
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.membership import Members
-from dogwoodshed._internal.mesh.messages import Member
+from dogwoodshed._internal.mesh.fleet_messages import (
+    Member,
+)
 
 # Three missed updates of its last-seen time; a gateway not seen for longer counts as
 # dead.
--- a/src/dogwoodshed/_internal/mesh/snapshot_requester.py
+++ b/src/dogwoodshed/_internal/mesh/snapshot_requester.py
@@ -5,7 +5,9 @@
 
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.mesh.connection import PeerConnection
-from dogwoodshed._internal.mesh.messages import SnapshotRequest
+from dogwoodshed._internal.mesh.fleet_messages import (
+    SnapshotRequest,
+)
 from dogwoodshed._internal.mesh.roster import FleetRoster
 from dogwoodshed._internal.metrics import Metrics
 
--- a/src/dogwoodshed/_internal/mesh/update_flood.py
+++ b/src/dogwoodshed/_internal/mesh/update_flood.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from dogwoodshed._internal.mesh.messages import GatewayUpdate, Hello, UpdateBatch
+from dogwoodshed._internal.mesh.fleet_messages import (
+    GatewayUpdate,
+    UpdateBatch,
+)
+from dogwoodshed._internal.mesh.messages import (
+    Hello,
+)
 
 
 class UpdateFlood:
--- a/src/dogwoodshed/_internal/reporting/coverage.py
+++ b/src/dogwoodshed/_internal/reporting/coverage.py
@@ -4,7 +4,9 @@
 from itertools import zip_longest
 from typing import NamedTuple
 
-from dogwoodshed._internal.mesh.messages import Presence
+from dogwoodshed._internal.mesh.messages import (
+    Presence,
+)
 from dogwoodshed._internal.reporting.merge import MergedDay, ReportedIncarnation
 
 
--- a/src/dogwoodshed/_internal/reporting/presence.py
+++ b/src/dogwoodshed/_internal/reporting/presence.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Container, Iterable
 
-from dogwoodshed._internal.mesh.messages import Presence
+from dogwoodshed._internal.mesh.messages import (
+    Presence,
+)
 
 
 class PresenceLog:
--- a/src/dogwoodshed/_internal/routing/base.py
+++ b/src/dogwoodshed/_internal/routing/base.py
@@ -8,7 +8,9 @@
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.model import Configuration, Service, Upstream
 from dogwoodshed._internal.membership import Members, Membership
-from dogwoodshed._internal.mesh.messages import ServiceLoad
+from dogwoodshed._internal.mesh.messages import (
+    ServiceLoad,
+)
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
--- a/src/dogwoodshed/_internal/routing/delegating_router.py
+++ b/src/dogwoodshed/_internal/routing/delegating_router.py
@@ -9,7 +9,7 @@
     DeadlineUnreachableError,
     PlacementUnavailableError,
 )
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.placement_messages import (
     PlacementEnd,
     PlacementReply,
     PlacementRequest,
--- a/src/dogwoodshed/_internal/routing/placement_server.py
+++ b/src/dogwoodshed/_internal/routing/placement_server.py
@@ -14,7 +14,7 @@
 from dogwoodshed._internal.configuration.model import Configuration, Kind
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.exceptions import NotRunError
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.placement_messages import (
     PlacementEnd,
     PlacementReply,
     PlacementRequest,
--- a/src/dogwoodshed/_internal/routing/service_slots.py
+++ b/src/dogwoodshed/_internal/routing/service_slots.py
@@ -15,7 +15,9 @@
     NoUpstreamError,
     QueueFullError,
 )
-from dogwoodshed._internal.mesh.messages import ServiceLoad
+from dogwoodshed._internal.mesh.messages import (
+    ServiceLoad,
+)
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.base import Outcome, OutcomeStatus, Slot
--- a/src/dogwoodshed/_internal/routing/shared_load.py
+++ b/src/dogwoodshed/_internal/routing/shared_load.py
@@ -4,13 +4,13 @@
 from typing import Any, NamedTuple
 
 from dogwoodshed._internal.clock import Clock
-from dogwoodshed._internal.mesh.load_sum import merge_report
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
     InFlightCalls,
     UpstreamReport,
     WaitingCalls,
 )
+from dogwoodshed._internal.mesh.load_sum import merge_report
 from dogwoodshed._internal.routing.shared_pool import ServicePool, UpstreamState
 
 # Counts are dropped when their hub has sent nothing for longer than this.
--- a/src/dogwoodshed/_internal/routing/shared_router.py
+++ b/src/dogwoodshed/_internal/routing/shared_router.py
@@ -25,7 +25,6 @@
     Router,
     RouterStatus,
     Slot,
-    UpstreamStatus,
 )
 from dogwoodshed._internal.routing.placement import (
     INITIAL_SERVICE_TIME_SHARE,
@@ -38,6 +37,7 @@
     ServicePool,
     UpstreamState,
 )
+from dogwoodshed._internal.routing.shared_pools import ServicePools
 
 # Interval of checks for free slots while calls wait, since calls of other gateways free
 # slots as well.
@@ -75,14 +75,14 @@
         self._clock = context.clock
         self._metrics = context.metrics
         self._random = random.Random()
-        self._rank_count = 1
-        self._pools: dict[str, ServicePool] = {}
-        self._usable_upstreams: dict[str, list[UsableUpstream]] = {}
-        self._states: dict[str, UpstreamState] = {}
-        self._pool_of: dict[str, ServicePool] = {}
-        # Data centres that have upstreams.
-        self._data_centres: set[str] = set()
-        self._load = SharedLoad(self._pools, self._states, self._pool_of, self._clock)
+        self._services = ServicePools(context.queue_length)
+        self._pools = self._services.pools
+        self._states = self._services.states
+        self._load = SharedLoad(
+            self._pools, self._states, self._services.pool_of, self._clock
+        )
+        self.find_service = self._services.find_service
+        self.clamp_rank = self._services.clamp_rank
 
     @property
     def load(self) -> SharedLoad:
@@ -90,49 +90,17 @@
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply the services of a new configuration."""
-        rank_count = self._rank_count = len(configuration.ranks)
-        for service in configuration.services:
-            pool = self._pools.get(service.name)
-            if pool is None:
-                self._pools[service.name] = ServicePool(
-                    service, rank_count, self._context.queue_length
-                )
-            else:
-                pool.service = service
-        for name in set(self._pools) - {s.name for s in configuration.services}:
-            pool = self._pools[name]
-            if not pool.queue:
-                del self._pools[name]
-        self._rebuild_pools()
+        self._services.apply_configuration(configuration)
+        self._dispatch_all()
 
     def apply_upstreams(self, upstreams: list[UsableUpstream]) -> None:
         """Apply the upstreams that may get calls now."""
-        self._usable_upstreams = {}
-        for upstream in upstreams:
-            self._usable_upstreams.setdefault(upstream.entry.service, []).append(
-                upstream
-            )
-        self._rebuild_pools()
-
-    def _rebuild_pools(self) -> None:
-        states: dict[str, UpstreamState] = {}
-        for name, pool in self._pools.items():
-            pool_states = {}
-            for usable_upstream in self._usable_upstreams.get(name, ()):
-                entry = usable_upstream.entry
-                state = self._states.get(entry.id)
-                if state is None or state.is_restart(usable_upstream):
-                    state = UpstreamState(usable_upstream)
-                state.update_usable_upstream(usable_upstream)
-                pool_states[entry.id] = states[entry.id] = state
-                self._pool_of[entry.id] = pool
-            pool.states = pool_states
+        self._services.apply_upstreams(upstreams)
+        self._dispatch_all()
+
+    def _dispatch_all(self) -> None:
+        for pool in self._pools.values():
             self._dispatch_queued(pool)
-        for removed in set(self._pool_of) - set(states):
-            del self._pool_of[removed]
-        self._states.clear()
-        self._states.update(states)
-        self._data_centres = {s.upstream.data_centre for s in states.values()}
 
     def set_draining(self, address: str, draining: bool) -> None:
         """Ignore drains in load reports; the directory lists them early enough."""
@@ -325,23 +293,10 @@
         """Return the upstreams that this gateway probes."""
         probed = {
             data_centre
-            for data_centre in self._data_centres
+            for data_centre in self._services.data_centres
             if self._context.probes_data_centre(data_centre)
         }
-        if not probed:
-            return ()
-        return tuple(
-            ProbeTarget(
-                pool.service.name,
-                state.upstream.address,
-                pool.service.probe_path,
-                pool.service.probe_budget_per_s,
-                state.performance.reported_at,
-            )
-            for pool in self._pools.values()
-            for state in pool.states.values()
-            if state.upstream.data_centre in probed
-        )
+        return tuple(self._services.probe_targets(probed)) if probed else ()
 
     def record_probe(self, target: ProbeTarget, outcome: Outcome) -> None:
         """Record a probe; its response time, unlike that of calls, is not used."""
@@ -359,19 +314,9 @@
         pool = self._pools.get(call.service.name)
         return pool is not None and pool.count_waiting(call.rank) > 0
 
-    def find_service(self, name: str) -> Service | None:
-        """Return a service of the current configuration, or None."""
-        pool = self._pools.get(name)
-        return pool.service if pool is not None else None
-
-    def clamp_rank(self, rank: int) -> int:
-        """Return the closest rank that the current configuration has."""
-        return max(0, min(rank, self._rank_count - 1))
-
     def count_upstreams(self, service: Service) -> int:
         """Return how many upstreams a service has."""
-        pool = self._pools.get(service.name)
-        return len(pool.states) if pool is not None else 0
+        return self._services.count_upstreams(service)
 
     def expected_service_time(self, call: Call) -> float:
         """Return the mean service time of the kind of a call, in seconds."""
@@ -382,22 +327,9 @@
 
     def snapshot(self) -> RouterStatus:
         """Return the state for the status page."""
-        now = self._clock.monotonic()
         queued = {
             name: {str(i): n for i, n in enumerate(pool.queue.lengths)}
             for name, pool in self._pools.items()
         }
-        upstreams = tuple(
-            UpstreamStatus(
-                name,
-                state.upstream.address,
-                state.in_flight,
-                round(
-                    state.performance.slowness(pool.mean_slowness.mean, now) * 100, 1
-                ),
-                "absent" if state.usable_upstream.absent else None,
-            )
-            for name, pool in self._pools.items()
-            for state in pool.states.values()
-        )
-        return RouterStatus(self.name, queued, upstreams)
+        upstreams = self._services.upstream_statuses(self._clock.monotonic())
+        return RouterStatus(self.name, queued, tuple(upstreams))
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -15,7 +15,9 @@
 )
 from dogwoodshed._internal.directory.model import UpstreamEntry
 from dogwoodshed._internal.directory.table import UsableUpstream
-from dogwoodshed._internal.mesh.messages import Member
+from dogwoodshed._internal.mesh.fleet_messages import (
+    Member,
+)
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.placement import Candidate
 from dogwoodshed._internal.routing.shared_router import (
--- a/tests/lib/mesh_fakes.py
+++ b/tests/lib/mesh_fakes.py
@@ -4,7 +4,10 @@
 
 from dogwoodshed._internal.exceptions import PeerUnavailableError
 from dogwoodshed._internal.membership import Membership
-from dogwoodshed._internal.mesh.messages import Heartbeat, Hello
+from dogwoodshed._internal.mesh.messages import (
+    Heartbeat,
+    Hello,
+)
 from dogwoodshed._internal.settings import Settings
 
 
--- a/tests/lib/placement_fleet.py
+++ b/tests/lib/placement_fleet.py
@@ -3,7 +3,10 @@
 import asyncio
 
 from dogwoodshed._internal.clock import SystemClock
-from dogwoodshed._internal.mesh.messages import PlacementEnd, PlacementRequest
+from dogwoodshed._internal.mesh.placement_messages import (
+    PlacementEnd,
+    PlacementRequest,
+)
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.delegating_router import DelegatingRouter
 from dogwoodshed._internal.routing.placement_server import PlacementServer
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -5,7 +5,9 @@
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.model import DirectoryChanges
 from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S, DirectoryView
-from dogwoodshed._internal.mesh.messages import GatewayUpdate
+from dogwoodshed._internal.mesh.fleet_messages import (
+    GatewayUpdate,
+)
 from tests.lib.fleet_builders import CountingMetrics, FakeClock, entry
 
 
--- a/tests/unit/test_distribution.py
+++ b/tests/unit/test_distribution.py
@@ -9,7 +9,10 @@
 from dogwoodshed._internal.discovery.host_list import read_host_list
 from dogwoodshed._internal.discovery.store import HostListStore
 from dogwoodshed._internal.membership import Membership
-from dogwoodshed._internal.mesh.messages import DocumentReply, DocumentRequest
+from dogwoodshed._internal.mesh.messages import (
+    DocumentReply,
+    DocumentRequest,
+)
 from dogwoodshed._internal.metrics import Metrics
 from tests.lib import builders
 from tests.lib.mesh_fakes import (
--- a/tests/unit/test_drains.py
+++ b/tests/unit/test_drains.py
@@ -6,7 +6,9 @@
 from dogwoodshed._internal.discovery.host_list import HostList
 from dogwoodshed._internal.drains import DrainTracker
 from dogwoodshed._internal.membership import Membership
-from dogwoodshed._internal.mesh.messages import DrainState
+from dogwoodshed._internal.mesh.messages import (
+    DrainState,
+)
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.routing.base import LoadReport
 from tests.lib import builders
--- a/tests/unit/test_fleet_cost.py
+++ b/tests/unit/test_fleet_cost.py
@@ -7,8 +7,14 @@
 import itertools
 import unittest
 
+from dogwoodshed._internal.mesh.fleet_messages import (
+    DataCentreLoad,
+    FleetLoad,
+)
 from dogwoodshed._internal.mesh.load_exchange import LoadExchange
-from dogwoodshed._internal.mesh.messages import DataCentreLoad, FleetLoad, Hello
+from dogwoodshed._internal.mesh.messages import (
+    Hello,
+)
 from dogwoodshed._internal.mesh.roster import FleetRoster
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.probing.prober import Prober
--- a/tests/unit/test_idempotency.py
+++ b/tests/unit/test_idempotency.py
@@ -26,7 +26,9 @@
     REPLAYED_HEADER,
     buffer_response,
 )
-from dogwoodshed._internal.mesh.messages import KeyRecordsRequest
+from dogwoodshed._internal.mesh.messages import (
+    KeyRecordsRequest,
+)
 from dogwoodshed._internal.proxy.forwarder import UpstreamResponse
 from dogwoodshed._internal.routing.base import OutcomeStatus
 from tests.lib.key_fleet import READ, KeyFleet
--- a/tests/unit/test_load_sum.py
+++ b/tests/unit/test_load_sum.py
@@ -2,14 +2,14 @@
 
 import unittest
 
-from dogwoodshed._internal.mesh.load_sum import LoadSum, merge_loads
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
     GatewayLoad,
     InFlightCalls,
     UpstreamReport,
     WaitingCalls,
 )
+from dogwoodshed._internal.mesh.load_sum import LoadSum, merge_loads
 
 
 def gateway_load(reports=(), waiting=(), **calls):
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -6,12 +6,14 @@
 
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.mesh.codec import Decoder, encode
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DirectorySnapshot,
-    Hello,
     InFlightCalls,
     MemberList,
 )
+from dogwoodshed._internal.mesh.messages import (
+    Hello,
+)
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.mesh.roster import DEAD_AFTER_S
 from dogwoodshed._internal.settings import Settings
--- a/tests/unit/test_placement_by_hub.py
+++ b/tests/unit/test_placement_by_hub.py
@@ -11,9 +11,11 @@
     NotRunError,
     OverloadedError,
 )
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
     InFlightCalls,
+)
+from dogwoodshed._internal.mesh.placement_messages import (
     PlacementReply,
 )
 from dogwoodshed._internal.routing import delegating_router
--- a/tests/unit/test_service_slots.py
+++ b/tests/unit/test_service_slots.py
@@ -7,7 +7,9 @@
     DeadlineExpiredInQueueError,
     DeadlineUnreachableError,
 )
-from dogwoodshed._internal.mesh.messages import ServiceLoad
+from dogwoodshed._internal.mesh.messages import (
+    ServiceLoad,
+)
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.routing.assignment import SlotId
 from dogwoodshed._internal.routing.base import LoadReport, Outcome, OutcomeStatus
--- a/tests/unit/test_shared_router.py
+++ b/tests/unit/test_shared_router.py
@@ -4,7 +4,7 @@
 import unittest
 
 from dogwoodshed._internal.exceptions import NoUpstreamError, OverloadedError
-from dogwoodshed._internal.mesh.messages import (
+from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
     InFlightCalls,
     UpstreamReport,
--- a/tests/unit/test_snapshot_requester.py
+++ b/tests/unit/test_snapshot_requester.py
@@ -3,7 +3,9 @@
 import unittest
 from types import SimpleNamespace
 
-from dogwoodshed._internal.mesh.messages import SnapshotRequest
+from dogwoodshed._internal.mesh.fleet_messages import (
+    SnapshotRequest,
+)
 from dogwoodshed._internal.mesh.roster import FleetRoster
 from dogwoodshed._internal.mesh.snapshot_requester import (
     RETRY_INTERVAL_S,
--- a/tests/unit/test_update_flood.py
+++ b/tests/unit/test_update_flood.py
@@ -2,7 +2,12 @@
 
 import unittest
 
-from dogwoodshed._internal.mesh.messages import GatewayUpdate, Hello
+from dogwoodshed._internal.mesh.fleet_messages import (
+    GatewayUpdate,
+)
+from dogwoodshed._internal.mesh.messages import (
+    Hello,
+)
 from dogwoodshed._internal.mesh.update_flood import UpdateFlood
 
 
