--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -77,7 +77,7 @@
 
 
 class _OverlayDelegate:
-    """Connect the overlay to the directory view and the shared load."""
+    """Connect the overlay to the directory view, the router and the placements."""
 
     def __init__(
         self,
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -48,7 +48,7 @@
         # Monotonic time at which the next gateway would count as silent.
         self._refresh_at = float("-inf")
         self._reader_order: list[Member] | None = None
-        self._reader_order_hubs: list[Member] = []
+        self._reader_order_hubs: tuple[Member, ...] = ()
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -66,8 +66,13 @@
 
     @property
     def hubs(self) -> tuple[Member, ...]:
-        """The hub of each data centre."""
-        return tuple(self._hubs())
+        """The hub of each data centre, in order of preference."""
+        hubs = [
+            hub
+            for data_centre in self._live_by_data_centre
+            if (hub := self.hub(data_centre)) is not None
+        ]
+        return tuple(sorted(hubs, key=_hub_order))
 
     @property
     def members(self) -> Members:
@@ -80,7 +85,7 @@
     @property
     def reader_rank(self) -> int:
         """The position of this gateway among the directory readers; 0 reads first."""
-        hubs = self._hubs()
+        hubs = self.hubs
         if self._reader_order is None or self._reader_order_hubs != hubs:
             readers = [*hubs, *(member for member in self._live if member not in hubs)]
             # Gateways whose last directory request failed come last, in the same order.
@@ -115,7 +120,7 @@
         if not self.is_hub:
             hub = self.hub(self._own.data_centre)
             return (hub,) if hub is not None else ()
-        return tuple(hub for hub in self._hubs() if hub != self._own)
+        return tuple(hub for hub in self.hubs if hub != self._own)
 
     def has_live_gateway(self, data_centre: str) -> bool:
         """Return whether a data centre has a live gateway."""
@@ -249,14 +254,6 @@
                 del self._members[member_id]
                 del self._last_seen_at[member_id]
 
-    def _hubs(self) -> list[Member]:
-        hubs = [
-            hub
-            for data_centre in self._live_by_data_centre
-            if (hub := self.hub(data_centre)) is not None
-        ]
-        return sorted(hubs, key=_hub_order)
-
 
 def _hub_order(member: Member) -> tuple[float, int, str]:
     return -member.hub_weight, member.incarnation, member.id
--- a/tests/functional/test_endless_requests.py
+++ b/tests/functional/test_endless_requests.py
@@ -1,8 +1,6 @@
 """Test callers that send bytes without end, or too slowly."""
 
 import asyncio
-import re
-from pathlib import Path
 
 from tests.lib import builders
 from tests.lib.raw import OK, RawHttpTestCase, respond_with, run_on_class_loop
@@ -32,11 +30,6 @@
             )
         ]
 
-    def peak_kb(self) -> int:
-        """Return the highest resident memory of the gateway so far."""
-        text = Path(f"/proc/{self.gateway.pid}/status").read_text(encoding="utf-8")
-        return int(re.search(r"VmHWM:\s+(\d+)", text)[1])
-
     async def send_until_closed(
         self, start: bytes, part: bytes, *, pause: float = 0.0, timeout: float
     ) -> bytes:
--- a/tests/functional/test_endless_responses.py
+++ b/tests/functional/test_endless_responses.py
@@ -1,8 +1,6 @@
 """Test upstreams that send bytes without end, until the gateway closes."""
 
 import asyncio
-import re
-from pathlib import Path
 
 from tests.lib import builders
 from tests.lib.raw import (
@@ -68,11 +66,6 @@
             )
         ]
 
-    def peak_kb(self) -> int:
-        """Return the highest resident memory of the gateway so far."""
-        text = Path(f"/proc/{self.gateway.pid}/status").read_text(encoding="utf-8")
-        return int(re.search(r"VmHWM:\s+(\d+)", text)[1])
-
     async def call_beside_others(self) -> tuple[bytes | None, float, list[float]]:
         """Call the endless upstream while another caller calls another service.
 
--- a/tests/functional/test_http_pitfalls.py
+++ b/tests/functional/test_http_pitfalls.py
@@ -39,11 +39,6 @@
         text = Path(f"/proc/{self.gateway.pid}/status").read_text(encoding="utf-8")
         return int(re.search(r"VmRSS:\s+(\d+)", text)[1])
 
-    def peak_kb(self) -> int:
-        """Return the highest resident memory of the gateway so far."""
-        text = Path(f"/proc/{self.gateway.pid}/status").read_text(encoding="utf-8")
-        return int(re.search(r"VmHWM:\s+(\d+)", text)[1])
-
     @run_on_class_loop
     async def test_redirect_is_forwarded(self):
         """Guards against a gateway that follows a redirect for the caller."""
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -6,6 +6,7 @@
 import re
 import unittest
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 
 from dogwoodshed._internal.standins.fleet import Fleet
 from tests.lib import builders
@@ -152,6 +153,11 @@
         self.upstream.script = respond_with(OK)
         self.upstream.read_bodies = True
 
+    def peak_kb(self) -> int:
+        """Return the highest resident memory of the gateway so far."""
+        text = Path(f"/proc/{self.gateway.pid}/status").read_text(encoding="utf-8")
+        return int(re.search(r"VmHWM:\s+(\d+)", text)[1])
+
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a connection to the gateway."""
         ip, _, port = self.gateway.address.rpartition(":")
