Order directory data by the era of the store and then by revision

What callers saw: after the store was restored from a copy, requests were handled by version 14 of the configuration although version 17 had been acknowledged two seconds before, and a new route got 404.

A restored store assigns the same numbers again, so that new contents counted as old. A peer that had not read the store since then taught the readers the old revision, from which they got status 410 again and again.

Change: the header Store-Era is read with every response, and entries and positions are ordered by (era, revision) wherever they are compared, kept or sent. A response of another era than asked for is a lost history. The first update after a restore contains all entries. Configurations are ordered by the operator's version, which does not go back. The copy is older than what was known before: an upstream that had drained or left in an earlier era is held back for four intervals of its entry, and one that the copy lacks stays in use for the time in which it returns.

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -9,7 +9,12 @@
 
 from dogwoodshed._internal.background import log_unexpected_errors
 from dogwoodshed._internal.clock import Clock
-from dogwoodshed._internal.directory.model import Directory, DirectoryChanges
+from dogwoodshed._internal.directory.model import (
+    NO_REVISION,
+    Directory,
+    DirectoryChanges,
+    DirectoryRevision,
+)
 from dogwoodshed._internal.exceptions import HistoryLostError, PlatformError
 from dogwoodshed._internal.metrics import Metrics
 
@@ -66,13 +71,13 @@
         self._started_at = clock.monotonic()
         self._first_read_after = first_read_after
         self._current_at = self._started_at
-        self._revision = 0
+        self._revision = NO_REVISION
         self._reachable = True
         # Consecutive reads that failed.
         self._failures = 0
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> DirectoryRevision:
         return self._revision
 
     @property
@@ -85,8 +90,11 @@
         """Return the seconds since the data was last known to be up to date."""
         return max(0.0, self._clock.monotonic() - self._current_at)
 
-    def record_peer_progress(self, revision: int, age: float) -> None:
+    def record_peer_progress(self, revision: DirectoryRevision, age: float) -> None:
         """Record the revision and age of the directory data of a peer."""
+        if revision.era < self._revision.era:
+            # The peer has not seen the restore; its data is not current.
+            return
         self._revision = max(self._revision, revision)
         self._current_at = max(self._current_at, self._clock.monotonic() - age)
 
@@ -105,13 +113,22 @@
 
     async def _read_once(self) -> None:
         """Read and apply changes; reset the count of failures if that succeeds."""
+        revision = self._revision
         try:
             changes = await self._read()
-        except HistoryLostError:
+        except HistoryLostError as error:
             self._metrics.increment("directory.history_lost")
-            logging.info("directory history lost; reading the complete directory")
+            logging.info(
+                "directory history lost after revision %d of era %d; "
+                "reading the complete directory: %s",
+                revision.number,
+                revision.era,
+                error,
+            )
             self._on_failure()
-            self._revision = 0
+            # Peers may have provided later data meanwhile.
+            if self._revision == revision:
+                self._revision = NO_REVISION
             self._failures = 0
             return
         except PlatformError as error:
@@ -120,7 +137,7 @@
             return
         self._set_reachable(True, None)
         self._current_at = self._clock.monotonic()
-        self._revision = changes.revision
+        self._revision = max(self._revision, changes.revision)
         self._on_changes(changes)
         self._failures = 0
         if changes.entries or changes.configuration:
@@ -128,7 +145,7 @@
 
     def _is_read_due(self) -> bool:
         reader_rank = self._reader_rank()
-        if self._revision == 0:
+        if self._revision == NO_REVISION:
             # When a whole fleet starts, only the first readers should load all data.
             delay = self._first_read_after
             if reader_rank >= PRIMARY_READERS:
@@ -142,7 +159,7 @@
         return self.age > STALE_AFTER_S + delay
 
     async def _read(self) -> DirectoryChanges:
-        if self._revision == 0:
+        if self._revision == NO_REVISION:
             return await self._directory.load()
         return await self._directory.watch(self._revision, WATCH_WAIT_S)
 
@@ -160,7 +177,11 @@
         self._on_reachable_change()
         self._metrics.gauge("directory.reachable", int(reachable))
         if reachable:
-            logging.info("directory reachable again at revision %d", self._revision)
+            logging.info(
+                "directory reachable again at revision %d of era %d",
+                self._revision.number,
+                self._revision.era,
+            )
         else:
             logging.warning("directory unreachable: %s", error)
 
--- a/src/dogwoodshed/_internal/directory/model.py
+++ b/src/dogwoodshed/_internal/directory/model.py
@@ -6,13 +6,30 @@
 from dogwoodshed._internal.configuration.model import Configuration
 
 
+class DirectoryRevision(NamedTuple):
+    """Position in the changes of a directory; later positions compare as greater.
+
+    A directory that is restored from a copy assigns the same numbers again to other
+    changes, so that a number alone does not order changes across a restore.
+    """
+
+    # Increases each time that the directory is restored from a copy.
+    era: int = 0
+    number: int = 0
+
+
+# Older than every revision of a directory.
+NO_REVISION = DirectoryRevision()
+
+
 class UpstreamEntry(NamedTuple):
     """The directory entry of an upstream, or its removal."""
 
     id: str
-    # Directory revision of the last change; orders the changes of this upstream.
-    revision: int
-    # False if the entry was removed; the other fields are then empty.
+    # Of the last change; orders the changes of this upstream.
+    revision: DirectoryRevision
+    # False if the entry was removed; of the other fields only `started_ms` and
+    # `left_before_restore` may then be set.
     listed: bool = True
     service: str = ""
     address: str = ""
@@ -23,11 +40,16 @@
     started_ms: int = 0
     # Remaining time during which the upstream is slow after its start.
     cold_ms: int = 0
+    # Whether this run drained or was removed before a restore, so that the copy may
+    # list it as available although it has left.
+    left_before_restore: bool = False
 
 
 class ConfigurationText(NamedTuple):
     """The text of a configuration and its revision."""
 
+    # The version that the operator assigns. Unlike revisions of the directory it does
+    # not go back when the directory is restored.
     revision: int
     text: str
 
@@ -35,7 +57,7 @@
 class DirectoryChanges(NamedTuple):
     """Changes up to a revision, or all data if `complete`."""
 
-    revision: int
+    revision: DirectoryRevision
     entries: tuple[UpstreamEntry, ...]
     configuration: ConfigurationText | None = None
     complete: bool = False
@@ -49,10 +71,11 @@
         """Read all data; raises PlatformError."""
 
     @abstractmethod
-    async def watch(self, revision: int, wait: float) -> DirectoryChanges:
+    async def watch(self, revision: DirectoryRevision, wait: float) -> DirectoryChanges:
         """Wait for changes after a revision; raises PlatformError.
 
-        Raises HistoryLostError if the changes since then are no longer available.
+        Raises HistoryLostError if the changes since then are no longer available, also
+        because the directory was restored from a copy.
         """
 
     @abstractmethod
--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -3,7 +3,11 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-from dogwoodshed._internal.directory.model import UpstreamEntry
+from dogwoodshed._internal.directory.model import (
+    NO_REVISION,
+    DirectoryRevision,
+    UpstreamEntry,
+)
 
 # An upstream is used for this long after its entry was removed, since an entry may
 # expire during an outage of the directory and return. The users require that a removed
@@ -12,6 +16,10 @@
 # According to the users, expired entries return within about 2 s of the end of an
 # outage of the directory.
 RETURN_GRACE_S = 2.2
+# Upstreams write their entries again after a restore, and an entry that is not written
+# for three intervals is removed. After one more interval, an upstream that is still
+# listed is available, whatever was known of it before the restore.
+RESTORED_ENTRY_INTERVALS = 4
 # Removed entries are kept up to this table size, so that an outdated update cannot
 # restore them.
 MAX_ROWS_WITH_REMOVALS = 5_000
@@ -28,23 +36,35 @@
 
 
 class _Row:
-    __slots__ = ("absent_since", "cold_until", "entry", "last_listed")
+    __slots__ = (
+        "absent_since",
+        "absent_until",
+        "cold_until",
+        "entry",
+        "era_since",
+        "last_listed",
+    )
 
     def __init__(self, entry: UpstreamEntry, now: float) -> None:
         self.entry = entry
         self.last_listed = entry if entry.listed else None
         self.absent_since: float | None = None if entry.listed else now
+        # Earliest end of the use of an absent upstream.
+        self.absent_until = now + ABSENCE_GRACE_S
         self.cold_until = now + entry.cold_ms / 1000
+        # When the first entry of its era was applied.
+        self.era_since = now
 
 
 class UpstreamTable:
     """Keep the latest entry of each upstream, in whatever order updates arrive."""
 
-    def __init__(self) -> None:
+    def __init__(self, entry_interval: float) -> None:
+        self._restore_hold = RESTORED_ENTRY_INTERVALS * entry_interval
         self._rows: dict[str, _Row] = {}
         self._outage_grace_until = float("-inf")
         # Up to this revision, an upstream without a row has been removed.
-        self._complete_revision = 0
+        self._complete_revision = NO_REVISION
 
     @property
     def entries(self) -> tuple[UpstreamEntry, ...]:
@@ -57,18 +77,26 @@
     def apply(
         self, entries: Iterable[UpstreamEntry], now: float
     ) -> tuple[UpstreamEntry, ...]:
-        """Apply newer entries and return them."""
-        return tuple(entry for entry in entries if self._merge(entry, now))
+        """Apply entries and return those that changed, as they are known now."""
+        merged = [self._merge(entry, now) for entry in entries]
+        return tuple(entry for entry in merged if entry is not None)
 
     def apply_listing(
-        self, entries: tuple[UpstreamEntry, ...], revision: int, now: float
+        self,
+        entries: tuple[UpstreamEntry, ...],
+        revision: DirectoryRevision,
+        now: float,
     ) -> tuple[UpstreamEntry, ...]:
         """Apply a complete listing and return the entries that changed."""
-        listed = {entry.id for entry in entries}
+        present = {entry.id for entry in entries}
+        # Removals of earlier eras are repeated, so that no entry of such an era is
+        # compared with entries of this one later.
         removed = [
             UpstreamEntry(entry.id, revision, listed=False)
             for entry in self.entries
-            if entry.listed and entry.id not in listed and entry.revision <= revision
+            if entry.id not in present
+            and entry.revision <= revision
+            and (entry.listed or entry.revision.era < revision.era)
         ]
         changed = self.apply([*entries, *removed], now)
         self._complete_revision = max(self._complete_revision, revision)
@@ -79,7 +107,7 @@
         upstreams = []
         for row in self._rows.values():
             entry = row.last_listed
-            if entry is None or entry.draining:
+            if entry is None or entry.draining or now < self._held_until(row):
                 continue
             absent = row.absent_since is not None
             if absent and now >= self._absent_until(row):
@@ -88,43 +116,76 @@
         return upstreams
 
     def next_expiry(self, now: float) -> float | None:
-        """Return when the next upstream with a removed entry becomes unusable."""
-        expiries = [
-            until
-            for row in self._rows.values()
-            if row.absent_since is not None
-            and row.last_listed is not None
-            and (until := self._absent_until(row)) > now
-        ]
-        return min(expiries, default=None)
+        """Return when time alone next changes which upstreams are usable."""
+        expiries = []
+        for row in self._rows.values():
+            if row.last_listed is None:
+                continue
+            if row.absent_since is not None:
+                expiries.append(self._absent_until(row))
+            expiries.append(self._held_until(row))
+        return min((expiry for expiry in expiries if expiry > now), default=None)
 
     def _absent_until(self, row: _Row) -> float:
-        normal_end = row.absent_since + ABSENCE_GRACE_S
         if row.absent_since < self._outage_grace_until:
             return max(
-                normal_end, min(self._outage_grace_until, normal_end + RETURN_GRACE_S)
+                row.absent_until,
+                min(
+                    self._outage_grace_until,
+                    row.absent_since + ABSENCE_GRACE_S + RETURN_GRACE_S,
+                ),
             )
-        return normal_end
+        return row.absent_until
 
-    def _merge(self, entry: UpstreamEntry, now: float) -> bool:
+    def _held_until(self, row: _Row) -> float:
+        """Return until when an upstream may be listed only because of a restore."""
+        if row.entry.left_before_restore:
+            return row.era_since + self._restore_hold
+        return float("-inf")
+
+    def _merge(self, entry: UpstreamEntry, now: float) -> UpstreamEntry | None:
+        """Merge an entry and return the result, or None if nothing changed."""
         row = self._rows.get(entry.id)
         if row is None and entry.revision <= self._complete_revision:
             # A peer that is behind does not know yet that the upstream has left.
-            return False
+            return None
         if row is None:
             self._rows[entry.id] = _Row(entry, now)
             self._drop_old_removal()
-            return True
-        if entry.revision <= row.entry.revision:
-            return False
-        row.entry = entry
+            return entry
+        known = row.entry
+        if entry.revision > known.revision:
+            merged = _with_earlier_leaving(entry, known)
+        else:
+            merged = _with_earlier_leaving(known, entry)
+        if merged == known:
+            return None
+        row.entry = merged
+        if entry.revision <= known.revision:
+            if row.last_listed is not None and merged.listed:
+                row.last_listed = merged
+            return merged
+        self._update_row(row, merged, known, now)
+        return merged
+
+    def _update_row(
+        self, row: _Row, entry: UpstreamEntry, previous: UpstreamEntry, now: float
+    ) -> None:
+        """Update a row for an entry with a later revision than the previous one."""
+        is_restored = entry.revision.era > previous.revision.era
+        if is_restored:
+            row.era_since = now
         if entry.listed:
             row.last_listed = entry
             row.absent_since = None
-            row.cold_until = now + entry.cold_ms / 1000
+            if not (is_restored and entry.started_ms == previous.started_ms):
+                row.cold_until = now + entry.cold_ms / 1000
         elif row.absent_since is None:
             row.absent_since = now
-        return True
+            row.absent_until = now + ABSENCE_GRACE_S
+            if is_restored:
+                # The copy may be older than the entry of a live upstream.
+                row.absent_until = now + RETURN_GRACE_S
 
     def _drop_old_removal(self) -> None:
         if len(self._rows) <= MAX_ROWS_WITH_REMOVALS:
@@ -133,3 +194,25 @@
             if not row.entry.listed:
                 del self._rows[upstream_id]
                 return
+
+
+def _with_earlier_leaving(
+    later: UpstreamEntry, earlier: UpstreamEntry
+) -> UpstreamEntry:
+    """Return the later of two entries with what the earlier one adds to it.
+
+    Within an era the later entry replaces the earlier one. The copy of a restored
+    directory is older than what was known before, although its era is later.
+    """
+    if not later.listed and not later.started_ms:
+        later = later._replace(started_ms=earlier.started_ms)
+    # Of some removed entries the start is not known.
+    same_run = earlier.started_ms in (0, later.started_ms)
+    left = same_run and earlier.left_before_restore
+    if earlier.revision.era < later.revision.era:
+        left = (
+            left
+            or (same_run and (earlier.draining or not earlier.listed))
+            or earlier.started_ms > later.started_ms
+        )
+    return later._replace(left_before_restore=later.left_before_restore or left)
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -10,8 +10,10 @@
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.follower import DirectoryFollower
 from dogwoodshed._internal.directory.model import (
+    NO_REVISION,
     ConfigurationText,
     DirectoryChanges,
+    DirectoryRevision,
     UpstreamEntry,
 )
 from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
@@ -40,25 +42,29 @@
         publish: Callable[[], None],
         clock: Clock,
         metrics: Metrics,
+        *,
+        entry_interval: float,
     ) -> None:
         self._store = store
         self._on_upstreams = on_upstreams
         self._publish = publish
         self._clock = clock
         self._metrics = metrics
-        self._table = UpstreamTable()
+        self._table = UpstreamTable(entry_interval)
         self._configuration_text = ConfigurationText(0, "")
         self._follower: DirectoryFollower | None = None
         # Changes to announce in the next update.
         self._unannounced_entries: list[UpstreamEntry] = []
         self._text_unannounced = False
-        self._announced_revision = 0
+        self._announced_revision = NO_REVISION
         self._has_unannounced_revision = False
+        # Whether to announce all entries, since a restore may have changed any of them.
+        self._listing_unannounced = False
         self._expiry_timer: asyncio.TimerHandle | None = None
         # Revision up to which all changes are applied, latest revision of a peer, and
         # since when the peer is ahead.
-        self._revision = 0
-        self._peer_revision = 0
+        self._revision = NO_REVISION
+        self._peer_revision = NO_REVISION
         self._behind_since: float | None = None
         self._loaded = asyncio.Event()
 
@@ -72,7 +78,7 @@
         return self._follower.failing
 
     @property
-    def revision(self) -> int:
+    def revision(self) -> DirectoryRevision:
         return self._revision
 
     @property
@@ -97,6 +103,7 @@
         """Apply changes that this gateway read itself."""
         now = self._clock.monotonic()
         if changes.complete:
+            self._listing_unannounced |= self._is_restored(changes.revision)
             changed = self._table.apply_listing(changes.entries, changes.revision, now)
         else:
             changed = self._table.apply(changes.entries, now)
@@ -114,14 +121,19 @@
             configuration = ConfigurationText(
                 update.configuration_revision, update.configuration
             )
-        if update.directory_revision:
+        revision = update.reached_revision
+        if revision.number:
             now = self._clock.monotonic()
-            changed = self._table.apply(map(_from_wire, update.entries), now)
+            entries = tuple(map(_from_wire, update.entries))
+            if update.complete:
+                changed = self._table.apply_listing(entries, revision, now)
+            else:
+                changed = self._table.apply(entries, now)
             # If earlier updates are missing, this revision is not reached yet.
-            if update.since_revision <= self._revision:
-                self._advance_revision(update.directory_revision)
+            if update.complete or update.starting_revision <= self._revision:
+                self._advance_revision(revision)
             self._apply(changed, configuration, update.origin, announce=False)
-        self.record_peer_progress(update.directory_revision, update.directory_age_ms)
+        self.record_peer_progress(revision, update.directory_age_ms)
 
     def snapshot(self) -> DirectorySnapshot:
         """Return all directory data for a peer."""
@@ -134,20 +146,20 @@
 
     def apply_snapshot(self, snapshot: DirectorySnapshot, *, announce: bool) -> None:
         """Apply all directory data of a peer; announce new data if `announce`."""
-        if snapshot.directory_revision == 0:
+        revision = snapshot.reached_revision
+        if not revision.number:
             return
         now = self._clock.monotonic()
         # An upstream that is not in the snapshot left before the peer was started.
         changed = self._table.apply_listing(
-            tuple(map(_from_wire, snapshot.entries)), snapshot.directory_revision, now
+            tuple(map(_from_wire, snapshot.entries)), revision, now
         )
         if announce:
-            self._announce_revision(snapshot.directory_revision)
+            self._listing_unannounced |= self._is_restored(revision)
+            self._announce_revision(revision)
         else:
-            self._advance_revision(snapshot.directory_revision)
-        self._follower.record_peer_progress(
-            snapshot.directory_revision, snapshot.directory_age_ms / 1e3
-        )
+            self._advance_revision(revision)
+        self._follower.record_peer_progress(revision, snapshot.directory_age_ms / 1e3)
         self._apply(
             changed,
             ConfigurationText(snapshot.configuration_revision, snapshot.configuration),
@@ -158,11 +170,14 @@
     def compose_update(self) -> dict[str, Any] | None:
         """Return the fields of the next update, or None if nothing changed."""
         fields: dict[str, Any] = {}
-        if self._unannounced_entries:
-            fields["entries"] = tuple(
-                _to_wire(entry) for entry in self._unannounced_entries
-            )
-            self._unannounced_entries = []
+        entries = self._unannounced_entries
+        if self._listing_unannounced:
+            entries = self._table.entries
+            fields["complete"] = True
+        if entries:
+            fields["entries"] = tuple(map(_to_wire, entries))
+        self._unannounced_entries = []
+        self._listing_unannounced = False
         if self._text_unannounced:
             fields["configuration_revision"] = self._configuration_text.revision
             fields["configuration"] = self._configuration_text.text
@@ -170,19 +185,21 @@
         if not fields and not self._has_unannounced_revision:
             return None
         self._has_unannounced_revision = False
-        fields["since_revision"] = self._announced_revision
+        fields["since_revision"] = self._announced_revision.number
+        fields["since_era"] = self._announced_revision.era
         return {**fields, **self.directory_progress()}
 
     def directory_progress(self) -> dict[str, int]:
         """Return revision and age of the directory data as message fields."""
         return {
-            "directory_revision": self._revision,
+            "directory_revision": self._revision.number,
             "directory_age_ms": round(self._follower.age * 1000),
+            "directory_era": self._revision.era,
         }
 
-    def record_peer_progress(self, revision: int, age_ms: int) -> None:
+    def record_peer_progress(self, revision: DirectoryRevision, age_ms: int) -> None:
         """Record the revision and age of the directory data of a peer."""
-        if age_ms < 0 or revision == 0:
+        if age_ms < 0 or not revision.number:
             return
         if revision <= self._revision:
             self._follower.record_peer_progress(revision, age_ms / 1000)
@@ -191,7 +208,11 @@
         if self._behind_since is None:
             self._behind_since = self._clock.monotonic()
 
-    def _announce_revision(self, revision: int) -> None:
+    def _is_restored(self, revision: DirectoryRevision) -> bool:
+        """Return whether a revision is the first one known after a restore."""
+        return self._revision != NO_REVISION and revision.era > self._revision.era
+
+    def _announce_revision(self, revision: DirectoryRevision) -> None:
         """Announce a revision in the next update, which starts at the current one."""
         if not (
             self._has_unannounced_revision
@@ -204,7 +225,14 @@
         )
         self._advance_revision(revision)
 
-    def _advance_revision(self, revision: int) -> None:
+    def _advance_revision(self, revision: DirectoryRevision) -> None:
+        if self._is_restored(revision):
+            self._metrics.increment("directory.restored")
+            logging.warning(
+                "directory restored: revision %d of era %d follows %d of era %d",
+                *reversed(revision),
+                *reversed(self._revision),
+            )
         self._revision = max(self._revision, revision)
         # An update of a peer that is behind as well does not close the gap.
         if self._revision >= self._peer_revision:
@@ -218,7 +246,7 @@
         *,
         announce: bool,
     ) -> None:
-        if self._revision:
+        if self._revision != NO_REVISION:
             self._loaded.set()
         if (
             configuration is not None
@@ -255,8 +283,15 @@
 
 
 def _to_wire(entry: UpstreamEntry) -> DirectoryEntry:
-    return DirectoryEntry(*entry)
+    return DirectoryEntry(
+        entry.id,
+        entry.revision.number,
+        *entry[2:],
+        era=entry.revision.era,
+    )
 
 
 def _from_wire(entry: DirectoryEntry) -> UpstreamEntry:
-    return UpstreamEntry(*entry)
+    *fields, era = entry
+    upstream_id, number, *rest = fields
+    return UpstreamEntry(upstream_id, DirectoryRevision(era, number), *rest)
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -10,7 +10,7 @@
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.follower import DirectoryFollower
-from dogwoodshed._internal.directory.model import Directory
+from dogwoodshed._internal.directory.model import Directory, DirectoryRevision
 from dogwoodshed._internal.directory.table import UsableUpstream
 from dogwoodshed._internal.directory.view import DirectoryView
 from dogwoodshed._internal.endpoints import EndpointServer
@@ -104,7 +104,7 @@
         self.record_acknowledgement = load.record_acknowledgement
 
     @property
-    def directory_revision(self) -> int:
+    def directory_revision(self) -> DirectoryRevision:
         """Return the revision of the directory that this gateway has."""
         return self._view.revision
 
@@ -120,7 +120,7 @@
 
     def apply_load(self, load: DataCentreLoad) -> None:
         """Apply the load of the gateways that a hub serves."""
-        self._view.record_peer_progress(load.directory_revision, load.directory_age_ms)
+        self._view.record_peer_progress(load.reached_revision, load.directory_age_ms)
         self._load.apply_load(load)
 
 
@@ -178,6 +178,7 @@
             self._overlay.publish,
             self._clock,
             self._metrics,
+            entry_interval=settings.platform.entry_interval_ms / 1000,
         )
         self._follower = DirectoryFollower(
             directory,
--- a/src/dogwoodshed/_internal/mesh/fleet_messages.py
+++ b/src/dogwoodshed/_internal/mesh/fleet_messages.py
@@ -5,6 +5,8 @@
 
 from typing import NamedTuple
 
+from dogwoodshed._internal.directory.model import DirectoryRevision
+
 
 class Member(NamedTuple):
     """A gateway of a fleet that discovers its members."""
@@ -25,6 +27,12 @@
     directory_revision: int = 0
     # Milliseconds since the sender was last known to be up to date; -1 if unknown.
     directory_age_ms: int = -1
+    directory_era: int = 0
+
+    @property
+    def reached_revision(self) -> DirectoryRevision:
+        """Return the revision of the directory at the sender."""
+        return DirectoryRevision(self.directory_era, self.directory_revision)
 
 
 class InFlightCalls(NamedTuple):
@@ -65,6 +73,9 @@
     draining: bool
     started_ms: int
     cold_ms: int
+    left_before_restore: bool = False
+    # Era of `revision`.
+    era: int = 0
 
 
 class GatewayUpdate(NamedTuple):
@@ -85,6 +96,21 @@
     directory_age_ms: int = -1
     # "leaving" if the gateway stops; otherwise empty.
     state: str = ""
+    # Eras of `since_revision` and `directory_revision`.
+    since_era: int = 0
+    directory_era: int = 0
+    # Whether `entries` is all data of the directory.
+    complete: bool = False
+
+    @property
+    def starting_revision(self) -> DirectoryRevision:
+        """Return the revision after which the changes start."""
+        return DirectoryRevision(self.since_era, self.since_revision)
+
+    @property
+    def reached_revision(self) -> DirectoryRevision:
+        """Return the revision up to which changes are included."""
+        return DirectoryRevision(self.directory_era, self.directory_revision)
 
 
 class UpdateBatch(NamedTuple):
@@ -107,6 +133,7 @@
     directory_age_ms: int = -1
     # Whether the last request to the directory failed; another gateway then reads it.
     directory_failing: bool = False
+    directory_era: int = 0
 
 
 class DataCentreLoad(NamedTuple):
@@ -126,6 +153,12 @@
     directory_age_ms: int = -1
     # Members whose last directory request failed; sent in every message.
     failing_readers: tuple[str, ...] = ()
+    directory_era: int = 0
+
+    @property
+    def reached_revision(self) -> DirectoryRevision:
+        """Return the revision of the directory at the sender."""
+        return DirectoryRevision(self.directory_era, self.directory_revision)
 
 
 class FleetLoad(NamedTuple):
@@ -152,3 +185,9 @@
     configuration: str
     directory_revision: int
     directory_age_ms: int
+    directory_era: int = 0
+
+    @property
+    def reached_revision(self) -> DirectoryRevision:
+        """Return the revision of the directory at the sender."""
+        return DirectoryRevision(self.directory_era, self.directory_revision)
--- a/src/dogwoodshed/_internal/mesh/inbound_messages.py
+++ b/src/dogwoodshed/_internal/mesh/inbound_messages.py
@@ -90,10 +90,9 @@
     def _(self, message: MemberList, connection: PeerConnection) -> None:
         self._roster.record_live(message.members)
         self._dial_wanted()
-        is_behind = message.directory_revision > self._delegate.directory_revision
-        self._delegate.record_peer_progress(
-            message.directory_revision, message.directory_age_ms
-        )
+        revision = message.reached_revision
+        is_behind = revision > self._delegate.directory_revision
+        self._delegate.record_peer_progress(revision, message.directory_age_ms)
         if is_behind:
             self._snapshot_requester.request_from_new_peer(connection)
 
--- a/src/dogwoodshed/_internal/mesh/overlay_delegate.py
+++ b/src/dogwoodshed/_internal/mesh/overlay_delegate.py
@@ -2,6 +2,7 @@
 
 from typing import Any, Protocol
 
+from dogwoodshed._internal.directory.model import DirectoryRevision
 from dogwoodshed._internal.mesh.fleet_messages import DirectorySnapshot, GatewayUpdate
 from dogwoodshed._internal.mesh.load_exchange import LoadDelegate
 from dogwoodshed._internal.mesh.placement_messages import (
@@ -15,7 +16,7 @@
     """Provide the updates and loads of this gateway and apply those of others."""
 
     @property
-    def directory_revision(self) -> int:
+    def directory_revision(self) -> DirectoryRevision:
         """Return the revision of the directory data of this gateway."""
 
     def compose_update(self) -> dict[str, Any] | None:
@@ -42,5 +43,5 @@
     def apply_snapshot(self, snapshot: DirectorySnapshot, *, announce: bool) -> None:
         """Apply the directory data of a peer; announce new data if `announce`."""
 
-    def record_peer_progress(self, revision: int, age_ms: int) -> None:
+    def record_peer_progress(self, revision: DirectoryRevision, age_ms: int) -> None:
         """Record the revision and age of the directory data of a peer."""
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -58,6 +58,9 @@
     # Enough for the first read, the watch after it, and one further call.
     call_burst: Annotated[int, Meta(ge=1)] = 3
     watch_wait_s: Annotated[float, Meta(gt=0, le=600)] = 30.0
+    # How often each upstream writes its entry to a directory; an entry that is not
+    # written for three of these intervals is removed.
+    entry_interval_ms: Annotated[float, Meta(gt=0)] = 1500.0
 
 
 class AdministrationSettings(_SettingsBase):
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -13,8 +13,8 @@
     Route,
     Service,
 )
-from dogwoodshed._internal.directory.model import UpstreamEntry
-from dogwoodshed._internal.directory.table import UsableUpstream
+from dogwoodshed._internal.directory.model import DirectoryRevision, UpstreamEntry
+from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
 from dogwoodshed._internal.mesh.fleet_messages import (
     Member,
 )
@@ -25,6 +25,8 @@
     SharedRouterContext,
 )
 
+# Seconds between two writes of an entry by its upstream.
+ENTRY_INTERVAL_S = 1.5
 RANKS = tuple(Rank(str(position), position, 0.0) for position in range(3))
 
 
@@ -44,16 +46,28 @@
         return self.now
 
 
-def entry(upstream_id: str = "i-1", revision: int = 1, **changes: Any) -> UpstreamEntry:
-    """Build a directory entry."""
+def revision(number: int, era: int = 0) -> DirectoryRevision:
+    """Build a revision of the directory."""
+    return DirectoryRevision(era, number)
+
+
+def table() -> UpstreamTable:
+    """Build an empty table of upstreams."""
+    return UpstreamTable(ENTRY_INTERVAL_S)
+
+
+def entry(
+    upstream_id: str = "i-1", number: int = 1, era: int = 0, **changes: Any
+) -> UpstreamEntry:
+    """Build a directory entry whose last change has a revision."""
     fields = {
         "service": "profiles",
-        "address": f"10.0.0.1:{8000 + revision}",
+        "address": f"10.0.0.1:{8000 + number}",
         "data_centre": "lima-a",
         "slots": 2,
         "started_ms": 1,
     }
-    return UpstreamEntry(upstream_id, revision, **{**fields, **changes})
+    return UpstreamEntry(upstream_id, revision(number, era), **{**fields, **changes})
 
 
 def usable_upstream(upstream_id: str, **changes: Any) -> UsableUpstream:
--- a/tests/unit/test_adapter_decode.py
+++ b/tests/unit/test_adapter_decode.py
@@ -36,8 +36,10 @@
     def test_decodes_target_entry(self):
         """Guards against a value that is decoded into the wrong field."""
         value = builders.target_value(state="draining", cold_left_ms=40)
-        decoded = decode.decode_entry(builders.item("servers/i-7", value, 9))
-        self.assertEqual((decoded.id, decoded.revision), ("i-7", 9))
+        decoded = decode.decode_entry(builders.item("servers/i-7", value, 9), 2)
+        self.assertEqual(
+            (decoded.id, decoded.revision), ("i-7", builders.revision(9, 2))
+        )
         self.assertTrue(decoded.listed and decoded.draining)
         self.assertEqual((decoded.started_ms, decoded.cold_ms), (5, 40))
 
@@ -54,19 +56,19 @@
             value = builders.target_value(**changes)
             with self.subTest(changes):
                 self.assertFalse(
-                    decode.decode_entry(builders.item("servers/a", value)).listed
+                    decode.decode_entry(builders.item("servers/a", value), 0).listed
                 )
         for value in (b"\xff\xfe", b"{", [], None):
             self.assertFalse(
-                decode.decode_entry(builders.item("servers/a", value)).listed
+                decode.decode_entry(builders.item("servers/a", value), 0).listed
             )
         broken = {"key": "servers/a", "revision": 1, "value": "%%"}
-        self.assertFalse(decode.decode_entry(broken).listed)
+        self.assertFalse(decode.decode_entry(broken, 0).listed)
 
     def test_removed_entry_is_not_listed(self):
         """Guards against calls to a target whose entry was removed."""
         removed = {"key": "servers/a", "revision": 4, "deleted": True}
-        self.assertFalse(decode.decode_entry(removed).listed)
+        self.assertFalse(decode.decode_entry(removed, 0).listed)
 
     def test_decodes_configuration(self):
         """Guards against time limits and traffic shares that are ignored."""
--- a/tests/unit/test_deploy_settings.py
+++ b/tests/unit/test_deploy_settings.py
@@ -16,6 +16,7 @@
     "listen.ready": "10.0.0.1:3",
     "seeds|json": '["10.0.0.1:2"]',
     "platform.address": "10.0.0.9:4",
+    "heartbeat_ms": "1500",
     "ip": "10.0.0.1",
     "internal_ports.0": "7200",
     "limits.cpu_share": "0.43",
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -5,9 +5,8 @@
 from dogwoodshed._internal.directory.table import (
     ABSENCE_GRACE_S,
     RETURN_GRACE_S,
-    UpstreamTable,
 )
-from tests.lib.fleet_builders import entry
+from tests.lib.fleet_builders import entry, revision, table
 
 # Seconds after which a leaving upstream must get no new calls, as set by the users.
 DRAIN_BOUND_S = 2.0
@@ -15,7 +14,7 @@
 
 class TableTest(unittest.TestCase):
     def setUp(self):
-        self.table = UpstreamTable()
+        self.table = table()
 
     def usable(self, now):
         return {upstream.entry.id: upstream for upstream in self.table.usable(now)}
@@ -44,7 +43,7 @@
         """Guards against dropping live upstreams whose entries expired in an outage."""
         self.table.apply([entry("i-1", 1), entry("i-2", 2)], 0.0)
         self.table.record_directory_failure(9.9)
-        self.table.apply_listing((entry("i-2", 2),), 7, 10.0)
+        self.table.apply_listing((entry("i-2", 2),), revision(7), 10.0)
         self.assertIn("i-1", self.usable(10.0 + RETURN_GRACE_S - 0.2))
         self.assertNotIn("i-1", self.usable(10.0 + RETURN_GRACE_S + DRAIN_BOUND_S))
         self.table.apply([entry("i-1", 8)], 11.0)
@@ -53,7 +52,7 @@
     def test_listing_removes_only_older_entries(self):
         """Guards against a listing that drops an upstream added while it was read."""
         self.table.apply([entry("i-1", 3), entry("i-9", 9)], 0.0)
-        new = self.table.apply_listing((), 5, 1.0)
+        new = self.table.apply_listing((), revision(5), 1.0)
         self.assertEqual([(e.id, e.listed) for e in new], [("i-1", False)])
 
     def test_entry_removed_before_the_listing_is_not_restored(self):
@@ -61,7 +60,7 @@
 
         A peer that has not reached the store since then still sends its entry.
         """
-        self.table.apply_listing((entry("i-1", 3),), 50, 0.0)
+        self.table.apply_listing((entry("i-1", 3),), revision(50), 0.0)
         changed = self.table.apply([entry("i-9", 30), entry("i-8", 51)], 0.1)
         self.assertEqual([e.id for e in changed], ["i-8"])
         self.assertEqual(set(self.usable(0.2)), {"i-1", "i-8"})
@@ -69,7 +68,7 @@
     def test_entry_that_returned_in_the_listing_is_usable(self):
         """Guards against dropping an entry whose removal was known before."""
         self.table.apply([entry("i-1", 4, listed=False)], 0.0)
-        self.table.apply_listing((entry("i-1", 6),), 9, 0.1)
+        self.table.apply_listing((entry("i-1", 6),), revision(9), 0.1)
         self.assertEqual(set(self.usable(0.2)), {"i-1"})
 
     def test_cold_time_counts_from_the_update(self):
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -8,7 +8,13 @@
 from dogwoodshed._internal.mesh.fleet_messages import (
     GatewayUpdate,
 )
-from tests.lib.fleet_builders import CountingMetrics, FakeClock, entry
+from tests.lib.fleet_builders import (
+    ENTRY_INTERVAL_S,
+    CountingMetrics,
+    FakeClock,
+    entry,
+    revision,
+)
 
 
 class _Follower:
@@ -28,15 +34,22 @@
     def view(self):
         metrics = CountingMetrics()
         store = ConfigurationStore(metrics, lambda *_: None)
-        view = DirectoryView(store, lambda _: None, lambda: None, self.clock, metrics)
+        view = DirectoryView(
+            store,
+            lambda _: None,
+            lambda: None,
+            self.clock,
+            metrics,
+            entry_interval=ENTRY_INTERVAL_S,
+        )
         view.attach(_Follower())
         return view
 
-    def read_entry(self, revision):
+    def read_entry(self, number):
         """Let the reader read one more entry; return its update."""
-        changes = DirectoryChanges(revision, (entry(f"i-{revision}", revision),))
-        self.reader.apply_changes(changes)
-        return GatewayUpdate("reader", 1, revision, **self.reader.compose_update())
+        entries = (entry(f"i-{number}", number),)
+        self.reader.apply_changes(DirectoryChanges(revision(number), entries))
+        return GatewayUpdate("reader", 1, number, **self.reader.compose_update())
 
     def advance_beyond_gap_timeout(self):
         self.clock.now += GAP_TIMEOUT_S + 0.1
@@ -53,8 +66,8 @@
 
     async def test_no_gap_after_consecutive_updates(self):
         """Guards against snapshots that are requested without need."""
-        for revision in range(1, 4):
-            self.other.apply_update(self.read_entry(revision))
+        for number in range(1, 4):
+            self.other.apply_update(self.read_entry(number))
         self.advance_beyond_gap_timeout()
         self.assertFalse(self.other.has_gap)
         self.assertEqual(self.other.directory_progress()["directory_revision"], 3)
@@ -62,9 +75,9 @@
     async def test_peer_that_is_also_behind_does_not_close_the_gap(self):
         """Guards against closing a gap because of a hub that lacks the same updates."""
         self.other.apply_update(self.read_entry(1))
-        self.other.record_peer_progress(5, 0)
+        self.other.record_peer_progress(revision(5), 0)
         self.advance_beyond_gap_timeout()
-        self.other.record_peer_progress(1, 0)
+        self.other.record_peer_progress(revision(1), 0)
         self.assertTrue(self.other.has_gap)
 
     async def test_updates_of_others_are_not_announced_again(self):
@@ -85,7 +98,7 @@
         """
         self.other.apply_update(self.read_entry(1))
         restarted = self.view()
-        listing = DirectoryChanges(9, (entry("i-5", 5),), complete=True)
+        listing = DirectoryChanges(revision(9), (entry("i-5", 5),), complete=True)
         restarted.apply_changes(listing)
         self.other.apply_snapshot(restarted.snapshot(), announce=False)
         listed = {e.id for e in self.other._table.entries if e.listed}
@@ -99,12 +112,12 @@
         """
         self.read_entry(1)
         restarted = self.view()
-        listing = DirectoryChanges(9, (entry("i-5", 5),), complete=True)
+        listing = DirectoryChanges(revision(9), (entry("i-5", 5),), complete=True)
         restarted.apply_changes(listing)
         restarted.apply_snapshot(self.reader.snapshot(), announce=True)
         listed = {e.id for e in restarted._table.entries if e.listed}
         self.assertEqual(listed, {"i-5"})
-        self.assertEqual(restarted.revision, 9)
+        self.assertEqual(restarted.revision, revision(9))
 
     async def test_snapshot_is_not_announced_by_other_gateways(self):
         """Guards against a starting fleet in which every gateway announces all data.
--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -8,7 +8,7 @@
 from dogwoodshed._internal.directory.follower import DirectoryFollower
 from dogwoodshed._internal.directory.model import DirectoryChanges
 from dogwoodshed._internal.exceptions import HistoryLostError, PlatformError
-from tests.lib.fleet_builders import CountingMetrics
+from tests.lib.fleet_builders import CountingMetrics, revision
 
 
 class _Directory:
@@ -17,11 +17,13 @@
         self.error = None
 
     async def load(self):
-        return await self._respond("load", DirectoryChanges(5, (), complete=True))
+        changes = DirectoryChanges(revision(5), (), complete=True)
+        return await self._respond("load", changes)
 
-    async def watch(self, revision, wait):
+    async def watch(self, after, wait):
         await asyncio.sleep(0.05)
-        return await self._respond(f"watch {revision}", DirectoryChanges(revision, ()))
+        changes = DirectoryChanges(after, ())
+        return await self._respond(f"watch {after.number}", changes)
 
     async def close(self):
         pass
@@ -62,7 +64,7 @@
     async def test_other_gateways_do_not_read_current_data(self):
         """Guards against directory requests that grow with the fleet."""
         await self.run_follower(
-            0.4, rank=5, before=lambda f: f.record_peer_progress(7, 0.0)
+            0.4, rank=5, before=lambda f: f.record_peer_progress(revision(7), 0.0)
         )
         self.assertEqual(self.directory.calls, [])
 
@@ -70,13 +72,13 @@
         """Guards against gateways that wait for readers that have stopped."""
         stale_age = module.STALE_AFTER_S + module.MAX_STANDBY_DELAY_S + 1
         await self.run_follower(
-            0.3, rank=5, before=lambda f: f.record_peer_progress(7, stale_age)
+            0.3, rank=5, before=lambda f: f.record_peer_progress(revision(7), stale_age)
         )
         self.assertEqual(self.directory.calls, [])
         self.addCleanup(setattr, module, "STALE_AFTER_S", module.STALE_AFTER_S)
         module.STALE_AFTER_S = -module.MAX_STANDBY_DELAY_S
         await self.run_follower(
-            0.3, rank=5, before=lambda f: f.record_peer_progress(7, 0.0)
+            0.3, rank=5, before=lambda f: f.record_peer_progress(revision(7), 0.0)
         )
         self.assertEqual(self.directory.calls[0], "watch 7")
 
@@ -84,7 +86,7 @@
         """Guards against missing changes that are no longer in the history."""
 
         def lose_history(follower):
-            follower.record_peer_progress(3, 0.0)
+            follower.record_peer_progress(revision(3), 0.0)
             self.directory.error = HistoryLostError("gone")
 
         await self.run_follower(0.4, before=lose_history)
@@ -99,3 +101,14 @@
         follower = await self.run_follower(0.05, before=fail)
         self.assertTrue(follower.failing)
         self.assertEqual(len(self.failures), 1)
+
+    async def test_peer_of_an_earlier_era_is_not_followed(self):
+        """Guards against a watch from a revision that the store assigned again."""
+
+        def record_both_eras(follower):
+            follower.record_peer_progress(revision(5, era=1), 0.0)
+            follower.record_peer_progress(revision(9), 0.0)
+
+        follower = await self.run_follower(0.2, before=record_both_eras)
+        self.assertEqual(self.directory.calls[0], "watch 5")
+        self.assertEqual(follower.revision, revision(5, era=1))
--- a/tests/unit/test_malformed_messages.py
+++ b/tests/unit/test_malformed_messages.py
@@ -12,7 +12,7 @@
 
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.directory.follower import DirectoryFollower
-from dogwoodshed._internal.directory.model import DirectoryChanges
+from dogwoodshed._internal.directory.model import NO_REVISION, DirectoryChanges
 from dogwoodshed._internal.exceptions import PlatformError, ProtocolError
 from dogwoodshed._internal.mesh.codec import Decoder, encode
 from dogwoodshed._internal.mesh.fleet_messages import (
@@ -34,7 +34,12 @@
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.settings import Settings
 from tests.lib import adapter
-from tests.lib.fleet_builders import CountingMetrics, item, target_value
+from tests.lib.fleet_builders import (
+    CountingMetrics,
+    item,
+    revision,
+    target_value,
+)
 
 # Reproducible in CI; run by hand with other seeds (`--hypothesis-seed` of the profile).
 REPRODUCIBLE = settings(derandomize=True, deadline=None, max_examples=300)
@@ -116,7 +121,7 @@
     def test_additional_fields_are_ignored(self):
         """Guards against a release that rejects the messages of a later one."""
         member = ["id", "10.0.0.1:70", "dc", 1, 0.5, "new field"]
-        data = msgpack.packb([20, 0, [member], 3, 4, "new field"])
+        data = msgpack.packb([20, 0, [member], 3, 4, 5, "new field"])
         (envelope,) = Decoder().feed(data)
         self.assertEqual(envelope.message.members[0].hub_weight, 0.5)
         self.assertEqual(envelope.message.directory_revision, 3)
@@ -136,7 +141,7 @@
     """Fail on every load, as a programming error would."""
 
     directory_failing = False
-    directory_revision = 0
+    directory_revision = NO_REVISION
 
     def __getattr__(self, name):
         raise RuntimeError(name)
@@ -245,12 +250,12 @@
         self._response = response
 
     async def _get(self, path: str, query: dict[str, str], timeout: float) -> Any:
-        return self._response
+        return adapter.store._Response(1, self._response)
 
 
 def run_and_expect_platform_error(response: Any) -> None:
     """Read a response of the store; only PlatformError may be raised."""
-    for read in (lambda s: s.load(), lambda s: s.watch(1, 0.1)):
+    for read in (lambda s: s.load(), lambda s: s.watch(revision(1, 1), 0.1)):
         try:
             changes = asyncio.run(read(_StoreWithResponse(response)))
         except PlatformError:
@@ -317,9 +322,9 @@
             "items": [{"key": "op/config", "revision": 2, "value": encoded}],
             "has_more": False,
         }
-        changes = asyncio.run(_StoreWithResponse(response).load())
+        asyncio.run(_StoreWithResponse(response).load())
         try:
-            adapter.decode.decode_configuration(changes.configuration.text, 2)
+            adapter.decode.decode_configuration(text, 2)
         except adapter.decode.InvalidDocumentError:
             pass
 
@@ -335,12 +340,12 @@
         self.calls += 1
         if self.calls < 3:
             raise KeyError("store_revision")
-        return DirectoryChanges(5, (), complete=True)
+        return DirectoryChanges(revision(5), (), complete=True)
 
-    async def watch(self, revision, wait):
+    async def watch(self, after, wait):
         """Return no changes."""
         await asyncio.sleep(0.05)
-        return DirectoryChanges(revision, ())
+        return DirectoryChanges(after, ())
 
     async def close(self):
         """Close nothing."""
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -5,6 +5,7 @@
 import unittest
 
 from dogwoodshed._internal.clock import SystemClock
+from dogwoodshed._internal.directory.model import NO_REVISION
 from dogwoodshed._internal.mesh.codec import Decoder, encode
 from dogwoodshed._internal.mesh.fleet_messages import (
     DirectorySnapshot,
@@ -17,7 +18,7 @@
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.mesh.roster import DEAD_AFTER_S
 from dogwoodshed._internal.settings import Settings
-from tests.lib.fleet_builders import CountingMetrics
+from tests.lib.fleet_builders import CountingMetrics, revision
 
 WAIT_TIMEOUT_S = 10.0
 
@@ -35,7 +36,7 @@
         self.sent_calls = {}
         self.hub = None
         self.directory_failing = False
-        self.directory_revision = 0
+        self.directory_revision = NO_REVISION
         self.snapshots_sent = 0
 
     def compose_load(self, sequence):
@@ -62,7 +63,12 @@
             self.calls_by_hub[load.hub] = item.calls
 
     def directory_progress(self):
-        return {"directory_revision": self.directory_revision, "directory_age_ms": 0}
+        era, number = self.directory_revision
+        return {
+            "directory_revision": number,
+            "directory_age_ms": 0,
+            "directory_era": era,
+        }
 
     def record_peer_progress(self, revision, age_ms):
         pass
@@ -76,11 +82,11 @@
 
     def snapshot(self):
         self.snapshots_sent += 1
-        return DirectorySnapshot((), 0, "", self.directory_revision, 0)
+        return DirectorySnapshot((), 0, "", **self.directory_progress())
 
     def apply_snapshot(self, snapshot, *, announce):
         self.directory_revision = max(
-            self.directory_revision, snapshot.directory_revision
+            self.directory_revision, snapshot.reached_revision
         )
 
     @property
@@ -216,10 +222,11 @@
         """
         await self.wait_until_joined()
         for delegate in self.delegates.values():
-            delegate.directory_revision = 7
+            delegate.directory_revision = revision(7)
         hub = self.overlays["g1"].roster.hub("dc1").id
         await self.start("g9", "dc1")
-        await self.wait_until(lambda: self.delegates["g9"].directory_revision == 7)
+        g9 = self.delegates["g9"]
+        await self.wait_until(lambda: g9.directory_revision == revision(7))
         await self.wait_until_joined()
         senders = {
             name: delegate.snapshots_sent
