Count only removed entries against the limit of the directory table

Callers of a fleet with more than 5,000 upstreams could be sent to one that had left: the limit on kept removals counted all rows, so that each new row dropped a removal, and an outdated update restored the upstream.

test_removals_are_kept_beside_many_upstreams fails on the parent.

--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -20,9 +20,8 @@
 # for three intervals is removed. After one more interval, an upstream that is still
 # listed is available, whatever was known of it before the restore.
 RESTORED_ENTRY_INTERVALS = 4
-# Removed entries are kept up to this table size, so that an outdated update cannot
-# restore them.
-MAX_ROWS_WITH_REMOVALS = 5_000
+# So many removed entries are kept, so that an outdated update cannot restore them.
+MAX_REMOVED_ENTRIES = 5_000
 
 
 class UsableUpstream(NamedTuple):
@@ -62,6 +61,8 @@
     def __init__(self, entry_interval: float) -> None:
         self._restore_hold = RESTORED_ENTRY_INTERVALS * entry_interval
         self._rows: dict[str, _Row] = {}
+        # Ids of the rows with a removed entry, the earliest removal first.
+        self._removed_ids: dict[str, None] = {}
         self._outage_grace_until = float("-inf")
         # Up to this revision, an upstream without a row has been removed.
         self._complete_revision = NO_REVISION
@@ -151,7 +152,7 @@
             return None
         if row is None:
             self._rows[entry.id] = _Row(entry, now)
-            self._drop_old_removal()
+            self._record_removal(entry)
             return entry
         known = row.entry
         if entry.revision > known.revision:
@@ -178,6 +179,7 @@
         if entry.listed:
             row.last_listed = entry
             row.absent_since = None
+            self._removed_ids.pop(entry.id, None)
             if not (is_restored and entry.started_ms == previous.started_ms):
                 row.cold_until = now + entry.cold_ms / 1000
         elif row.absent_since is None:
@@ -186,14 +188,16 @@
             if is_restored:
                 # The copy may be older than the entry of a live upstream.
                 row.absent_until = now + RETURN_GRACE_S
+            self._record_removal(entry)
 
-    def _drop_old_removal(self) -> None:
-        if len(self._rows) <= MAX_ROWS_WITH_REMOVALS:
+    def _record_removal(self, entry: UpstreamEntry) -> None:
+        """Record that an entry was removed, and forget the earliest removal."""
+        if entry.listed:
             return
-        for upstream_id, row in list(self._rows.items()):
-            if not row.entry.listed:
-                del self._rows[upstream_id]
-                return
+        self._removed_ids[entry.id] = None
+        if len(self._removed_ids) > MAX_REMOVED_ENTRIES:
+            earliest = next(iter(self._removed_ids))
+            del self._removed_ids[earliest], self._rows[earliest]
 
 
 def _with_earlier_leaving(
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -4,6 +4,7 @@
 
 from dogwoodshed._internal.directory.table import (
     ABSENCE_GRACE_S,
+    MAX_REMOVED_ENTRIES,
     RETURN_GRACE_S,
 )
 from tests.lib.fleet_builders import entry, revision, table
@@ -71,6 +72,28 @@
         self.table.apply_listing((entry("i-1", 6),), revision(9), 0.1)
         self.assertEqual(set(self.usable(0.2)), {"i-1"})
 
+    def test_removals_are_kept_beside_many_upstreams(self):
+        """Guards against an upstream of a large fleet that is restored after it left.
+
+        The limit on removed entries counted the listed ones as well.
+        """
+        count = MAX_REMOVED_ENTRIES + 100
+        entries = [entry(f"i-{number}", number) for number in range(1, count)]
+        self.table.apply([entry("i-0", 0), *entries], 0.0)
+        self.table.apply([entry("i-0", count + 1, listed=False)], 1.0)
+        self.table.apply([entry("new", count + 2), entry("i-0", 5)], 1.1)
+        # Without the upstreams in the message of a failure.
+        self.assertFalse("i-0" in self.usable(10.0))
+
+    def test_earliest_removal_is_forgotten(self):
+        """Guards against a table that grows with every upstream that ever left."""
+        for number in range(1, MAX_REMOVED_ENTRIES + 11):
+            upstream_id = f"i-{number}"
+            self.table.apply([entry(upstream_id, 2 * number)], 0.0)
+            self.table.apply([entry(upstream_id, 2 * number + 1, listed=False)], 0.0)
+        self.assertEqual(len(self.table.entries), MAX_REMOVED_ENTRIES)
+        self.assertEqual(self.table.entries[0].id, "i-11")
+
     def test_cold_time_counts_from_the_update(self):
         """Guards against an upstream that counts as cold for ever."""
         self.table.apply([entry("i-1", 1, cold_ms=3000)], 5.0)
