--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -19,6 +19,7 @@
 LOG_TAIL_CHARACTERS = 1500
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "shop.example"
+CONFIGURATION_KEY = "op/config"
 START_TIMEOUT_S = 20.0
 
 
@@ -55,6 +56,8 @@
     def __init__(self, name: str, folder: str, zone: str) -> None:
         self.name = name
         self.zone = zone
+        # Address at which only this gateway calls the store.
+        self.store_address = ""
         self.port, self.ready_port, self.control_port = free_ports(3)
         self._settings = Path(folder) / f"{name}.jsonc"
         self._log = Path(folder) / f"{name}.log"
@@ -152,9 +155,15 @@
             DeployedGateway(f"g{i}", self._folder.name, f"lima-{i % zones}")
             for i in range(gateways)
         ]
+        # The last value that the operator or a target wrote to each key.
+        self._written: dict[str, Any] = {}
         self._version = 0
         self._session: aiohttp.ClientSession | None = None
 
+    @property
+    def written_keys(self) -> list[str]:
+        return sorted(self._written)
+
     async def start(self, targets: int = 2, routes: tuple = ROUTES) -> None:
         """Start everything and wait until all gateways are ready."""
         self.open_session()
@@ -164,7 +173,8 @@
         await self.configure(*routes)
         seeds = [gateway.control for gateway in self.gateways[:3]]
         for gateway in self.gateways:
-            gateway.configure(self.store.address, seeds)
+            gateway.store_address = await self.store.add_address()
+            gateway.configure(gateway.store_address, seeds)
             await gateway.start()
         await asyncio.gather(*(gateway.wait_ready() for gateway in self.gateways))
 
@@ -190,9 +200,30 @@
         target = TargetStandIn(target_id, service)
         await target.start()
         self.targets[target_id] = target
-        await self.store.put(f"servers/{target_id}", target.entry())
+        await self.write_target(target_id)
         return target
 
+    async def write_target(self, target_id: str, **changes: Any) -> None:
+        """Write the entry of a target to the store."""
+        await self._write(
+            f"servers/{target_id}", self.targets[target_id].entry(**changes)
+        )
+
+    async def remove_target(self, target_id: str) -> None:
+        """Remove the entry of a target from the store."""
+        del self._written[f"servers/{target_id}"]
+        await self.store.delete(f"servers/{target_id}")
+
+    async def _write(self, key: str, value: Any) -> None:
+        self._written[key] = value
+        await self.store.put(key, value)
+
+    async def write_again(self, *keys: str) -> None:
+        """Write the last values of the keys once more, as after a restored store."""
+        for key in keys:
+            if key in self._written:
+                await self.store.put(key, self._written[key])
+
     async def configure(self, *routes: dict[str, Any]) -> None:
         """Publish a configuration with the given routes."""
         self._version += 3
@@ -213,7 +244,7 @@
             "services": services,
             "limits": {},
         }
-        await self.store.put("op/config", value)
+        await self._write(CONFIGURATION_KEY, value)
 
     async def call(
         self,
