--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -59,6 +59,14 @@
     def revision(self) -> int:
         return self._revision
 
+    @property
+    def waiting_addresses(self) -> set[str]:
+        """Return the addresses at which a watch waits."""
+        return {
+            _join_address(transport.get_extra_info("sockname"))
+            for transport in self._waiting
+        }
+
     async def start(self) -> None:
         """Listen on loopback."""
         self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
