Do not take a lost revision back from peers

A reader whose history was lost read everything; if that failed, a peer's old revision made it watch from there again, got 410 and started over with the shortest delay.

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -72,6 +72,8 @@
         self._first_read_after = first_read_after
         self._current_at = self._started_at
         self._revision = NO_REVISION
+        # The last revision whose history was lost.
+        self._lost_revision = NO_REVISION
         self._reachable = True
         # Consecutive reads that failed.
         self._failures = 0
@@ -92,8 +94,8 @@
 
     def record_peer_progress(self, revision: DirectoryRevision, age: float) -> None:
         """Record the revision and age of the directory data of a peer."""
-        if revision.era < self._revision.era:
-            # The peer has not seen the restore; its data is not current.
+        if revision.era < self._revision.era or revision <= self._lost_revision:
+            # The peer has not seen the restore, or watches cannot start from there.
             return
         self._revision = max(self._revision, revision)
         self._current_at = max(self._current_at, self._clock.monotonic() - age)
@@ -127,6 +129,7 @@
             )
             self._on_failure()
             # Peers may have provided later data meanwhile.
+            self._lost_revision = revision
             if self._revision == revision:
                 self._revision = NO_REVISION
             self._failures = 0
--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -102,6 +102,26 @@
         self.assertTrue(follower.failing)
         self.assertEqual(len(self.failures), 1)
 
+    async def test_peer_does_not_return_a_revision_whose_history_is_lost(self):
+        """Guards against watches from a lost revision while complete reads fail."""
+
+        def lose_history(follower):
+            follower.record_peer_progress(revision(3), 0.0)
+            self.directory.error = HistoryLostError("gone")
+            self.follower = follower
+
+        async def fail_load():
+            self.directory.calls.append("load")
+            self.follower.record_peer_progress(revision(3), 0.0)
+            raise PlatformError("busy")
+
+        def fail(follower):
+            lose_history(follower)
+            self.directory.load = fail_load
+
+        await self.run_follower(0.6, before=fail)
+        self.assertEqual(set(self.directory.calls[1:]), {"load"})
+
     async def test_peer_of_an_earlier_era_is_not_followed(self):
         """Guards against a watch from a revision that the store assigned again."""
 
