Hold back after a restore only upstreams that are known to have left

A drain was forgotten by a gateway that started after the restore if the copy lacks the upstream, and if the copy lists an older run of it.

Cause: the mark of an entry neither ended nor told a removal from an entry that the copy only lacks. It ends with the hold now; an upstream in its longer grace after an outage or a restore has not left; outdated entries of the earlier era are ignored; an older run in the copy counts as lacking the newer one; what is known of an unlisted upstream is kept.

--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -39,6 +39,7 @@
         "absent_since",
         "absent_until",
         "cold_until",
+        "earlier_revision",
         "entry",
         "era_since",
         "last_listed",
@@ -51,8 +52,9 @@
         # Earliest end of the use of an absent upstream.
         self.absent_until = now + ABSENCE_GRACE_S
         self.cold_until = now + entry.cold_ms / 1000
-        # When the first entry of its era was applied.
+        # When the first entry of its era was applied, and the last revision before it.
         self.era_since = now
+        self.earlier_revision = NO_REVISION
 
 
 class UpstreamTable:
@@ -67,9 +69,9 @@
         # Up to this revision, an upstream without a row has been removed.
         self._complete_revision = NO_REVISION
 
-    @property
-    def entries(self) -> tuple[UpstreamEntry, ...]:
-        return tuple(row.entry for row in self._rows.values())
+    def entries(self, now: float) -> tuple[UpstreamEntry, ...]:
+        """Return the latest entry of each upstream."""
+        return tuple(self._current_entry(row, now) for row in self._rows.values())
 
     def record_directory_failure(self, now: float) -> None:
         """Record a failed directory request, after which entries may expire."""
@@ -90,11 +92,10 @@
     ) -> tuple[UpstreamEntry, ...]:
         """Apply a complete listing and return the entries that changed."""
         present = {entry.id for entry in entries}
-        # Removals of earlier eras are repeated, so that no entry of such an era is
-        # compared with entries of this one later.
+        # Moves removals of earlier eras to this one as well.
         removed = [
             UpstreamEntry(entry.id, revision, listed=False)
-            for entry in self.entries
+            for entry in self.entries(now)
             if entry.id not in present
             and entry.revision <= revision
             and (entry.listed or entry.revision.era < revision.era)
@@ -149,6 +150,7 @@
         row = self._rows.get(entry.id)
         if row is None and entry.revision <= self._complete_revision:
             # A peer that is behind does not know yet that the upstream has left.
+            self._record_unlisted_leaving(entry, now)
             return None
         if row is None:
             self._rows[entry.id] = _Row(entry, now)
@@ -156,19 +158,68 @@
             return entry
         known = row.entry
         if entry.revision > known.revision:
-            merged = _with_earlier_leaving(entry, known)
-        else:
-            merged = _with_earlier_leaving(known, entry)
+            merged = self._with_leaving(entry, row, now)
+            row.entry = merged
+            self._update_row(row, merged, known, now)
+            return merged
+        if entry.revision <= row.earlier_revision:
+            return None
+        merged = _add_leaving(known, entry, has_left=_is_leaving(entry))
         if merged == known:
             return None
         row.entry = merged
-        if entry.revision <= known.revision:
-            if row.last_listed is not None and merged.listed:
-                row.last_listed = merged
-            return merged
-        self._update_row(row, merged, known, now)
+        if merged.listed:
+            row.last_listed = merged
         return merged
 
+    def _record_unlisted_leaving(self, entry: UpstreamEntry, now: float) -> None:
+        """Record that an upstream left that the copy of the directory lacks.
+
+        Its entry may return as it was before it left.
+        """
+        is_earlier = entry.revision.era < self._complete_revision.era
+        if entry.left_before_restore or (is_earlier and _is_leaving(entry)):
+            removal = UpstreamEntry(
+                entry.id,
+                self._complete_revision,
+                listed=False,
+                started_ms=entry.started_ms,
+                left_before_restore=True,
+            )
+            self._rows[entry.id] = _Row(removal, now)
+            self._record_removal(removal)
+
+    def _with_leaving(
+        self, entry: UpstreamEntry, row: _Row, now: float
+    ) -> UpstreamEntry:
+        """Return a later entry with what is known of an earlier one in its row."""
+        known = self._current_entry(row, now)
+        if (
+            entry.revision.era > known.revision.era
+            and entry.started_ms < known.started_ms
+        ):
+            # The copy lists an older run, which has ended, and lacks this one.
+            entry = UpstreamEntry(entry.id, entry.revision, listed=False)
+        return _add_leaving(entry, known, has_left=self._has_left(row, now))
+
+    def _has_left(self, row: _Row, now: float) -> bool:
+        """Return whether an upstream is known to have drained or left."""
+        if row.last_listed is not None and row.last_listed.draining:
+            return True
+        if row.absent_since is None:
+            return False
+        # With a longer grace, its entry may have expired in an outage, or the copy of
+        # an earlier restore lacked it.
+        until = self._absent_until(row)
+        return now >= until or until <= row.absent_since + ABSENCE_GRACE_S
+
+    def _current_entry(self, row: _Row, now: float) -> UpstreamEntry:
+        """Return the entry of a row, without a mark that has no effect any more."""
+        entry = row.entry
+        if entry.left_before_restore and now >= self._held_until(row):
+            return entry._replace(left_before_restore=False)
+        return entry
+
     def _update_row(
         self, row: _Row, entry: UpstreamEntry, previous: UpstreamEntry, now: float
     ) -> None:
@@ -176,6 +227,7 @@
         is_restored = entry.revision.era > previous.revision.era
         if is_restored:
             row.era_since = now
+            row.earlier_revision = previous.revision
         if entry.listed:
             row.last_listed = entry
             row.absent_since = None
@@ -200,8 +252,12 @@
             del self._removed_ids[earliest], self._rows[earliest]
 
 
-def _with_earlier_leaving(
-    later: UpstreamEntry, earlier: UpstreamEntry
+def _is_leaving(entry: UpstreamEntry) -> bool:
+    return entry.draining or not entry.listed
+
+
+def _add_leaving(
+    later: UpstreamEntry, earlier: UpstreamEntry, *, has_left: bool
 ) -> UpstreamEntry:
     """Return the later of two entries with what the earlier one adds to it.
 
@@ -214,9 +270,5 @@
     same_run = earlier.started_ms in (0, later.started_ms)
     left = same_run and earlier.left_before_restore
     if earlier.revision.era < later.revision.era:
-        left = (
-            left
-            or (same_run and (earlier.draining or not earlier.listed))
-            or earlier.started_ms > later.started_ms
-        )
+        left = left or (same_run and has_left) or earlier.started_ms > later.started_ms
     return later._replace(left_before_restore=later.left_before_restore or left)
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -138,7 +138,7 @@
     def snapshot(self) -> DirectorySnapshot:
         """Return all directory data for a peer."""
         return DirectorySnapshot(
-            tuple(_to_wire(entry) for entry in self._table.entries),
+            tuple(map(_to_wire, self._table.entries(self._clock.monotonic()))),
             self._configuration_text.revision,
             self._configuration_text.text,
             **self.directory_progress(),
@@ -172,7 +172,7 @@
         fields: dict[str, Any] = {}
         entries = self._unannounced_entries
         if self._listing_unannounced:
-            entries = self._table.entries
+            entries = self._table.entries(self._clock.monotonic())
             fields["complete"] = True
         if entries:
             fields["entries"] = tuple(map(_to_wire, entries))
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -91,8 +91,8 @@
             upstream_id = f"i-{number}"
             self.table.apply([entry(upstream_id, 2 * number)], 0.0)
             self.table.apply([entry(upstream_id, 2 * number + 1, listed=False)], 0.0)
-        self.assertEqual(len(self.table.entries), MAX_REMOVED_ENTRIES)
-        self.assertEqual(self.table.entries[0].id, "i-11")
+        self.assertEqual(len(self.table.entries(1.0)), MAX_REMOVED_ENTRIES)
+        self.assertEqual(self.table.entries(1.0)[0].id, "i-11")
 
     def test_cold_time_counts_from_the_update(self):
         """Guards against an upstream that counts as cold for ever."""
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -101,7 +101,7 @@
         listing = DirectoryChanges(revision(9), (entry("i-5", 5),), complete=True)
         restarted.apply_changes(listing)
         self.other.apply_snapshot(restarted.snapshot(), announce=False)
-        listed = {e.id for e in self.other._table.entries if e.listed}
+        listed = {e.id for e in self.other._table.entries(self.clock.now) if e.listed}
         self.assertEqual(listed, {"i-5"})
 
     async def test_snapshot_of_a_peer_that_is_behind_restores_nothing(self):
@@ -115,7 +115,7 @@
         listing = DirectoryChanges(revision(9), (entry("i-5", 5),), complete=True)
         restarted.apply_changes(listing)
         restarted.apply_snapshot(self.reader.snapshot(), announce=True)
-        listed = {e.id for e in restarted._table.entries if e.listed}
+        listed = {e.id for e in restarted._table.entries(self.clock.now) if e.listed}
         self.assertEqual(listed, {"i-5"})
         self.assertEqual(restarted.revision, revision(9))
 
--- a/tests/unit/test_restored_directory.py
+++ b/tests/unit/test_restored_directory.py
@@ -1,5 +1,6 @@
 """Test that nothing known before a restore of the directory is undone by its copy."""
 
+import itertools
 import unittest
 
 from dogwoodshed._internal.configuration.store import ConfigurationStore
@@ -59,9 +60,19 @@
         self.table.apply([entry("i-1", 100, started_ms=2)], 0.0)
         older_run = entry("i-1", 80, era=1, started_ms=1)
         self.table.apply_listing((older_run,), revision(90, 1), 1.0)
-        self.assertEqual(self.usable(1.1), {})
-        self.table.apply([entry("i-1", 91, era=1, started_ms=2)], 1.2)
-        self.assertEqual(set(self.usable(1.3)), {"i-1"})
+        self.assertEqual(self.usable(1.1)["i-1"].entry.started_ms, 2)
+        self.assertEqual(self.usable(1.1 + RETURN_GRACE_S), {})
+        self.table.apply([entry("i-1", 91, era=1, started_ms=2)], 3.4)
+        self.assertEqual(self.usable(3.5)["i-1"].entry.started_ms, 2)
+
+    def test_drain_of_a_newer_run_outlives_the_older_run_of_the_copy(self):
+        """Guards against losing the drain of run 2 where the copy lists run 1."""
+        drained = entry("i-1", 100, started_ms=2, draining=True)
+        self.table.apply([drained], 0.0)
+        older_run = entry("i-1", 80, era=1, started_ms=1)
+        self.table.apply_listing((older_run,), revision(90, 1), 0.1)
+        self.table.apply([entry("i-1", 91, era=1, started_ms=2)], 0.2)
+        self.assertEqual(self.usable(0.3), {})
 
     def test_new_run_after_a_restore_is_usable(self):
         """Guards against an upstream that stays unused after it was started again."""
@@ -113,9 +124,44 @@
         self.table.apply_listing((entry("i-1", 80, era=1),), revision(90, 1), 1.0)
         started = table()
         started.apply_listing((entry("i-1", 80, era=1),), revision(90, 1), 1.1)
-        started.apply_listing(self.table.entries, revision(90, 1), 1.2)
+        started.apply_listing(self.table.entries(1.2), revision(90, 1), 1.2)
         self.assertEqual(started.usable(1.3), [])
 
+    def test_leaving_of_an_upstream_that_the_copy_lacks_is_kept(self):
+        """Guards against a gateway that started after the restore and forgets a drain.
+
+        Peers tell of the earlier era, or of both in one entry.
+        """
+        drained = entry("i-1", 100, draining=True)
+        self.table.apply([drained], 0.0)
+        self.table.apply_listing((), revision(90, 1), 0.0)
+        for entries in ((drained,), self.table.entries(0.1)):
+            with self.subTest(entries=entries):
+                started = table()
+                started.apply_listing((), revision(90, 1), 0.0)
+                started.apply(entries, 0.1)
+                started.apply([entry("i-1", 91, era=1)], 0.2)
+                self.assertEqual(started.usable(0.3), [])
+
+    def test_order_of_messages_does_not_decide_what_is_usable(self):
+        """Guards against orders in which a drain or a removal is lost."""
+        for leaving in ({"draining": True}, {"listed": False}):
+            for copy in ((entry("i-1", 80, era=1),), ()):
+                messages = {
+                    "leaving": (entry("i-1", 100, **leaving),),
+                    "listing": copy,
+                    "written again": (entry("i-1", 91, era=1),),
+                }
+                for order in itertools.permutations(messages):
+                    with self.subTest(leaving=leaving, copy=copy, order=order):
+                        built = table()
+                        for name in order:
+                            if name == "listing":
+                                built.apply_listing(copy, revision(90, 1), 0.0)
+                            else:
+                                built.apply(messages[name], 0.0)
+                        self.assertEqual(built.usable(0.1), [])
+
     def test_entry_of_an_earlier_era_is_not_restored(self):
         """Guards against a peer that was paused over the restore."""
         self.table.apply_listing((entry("i-1", 80, era=1),), revision(90, 1), 1.0)
@@ -129,6 +175,54 @@
         self.table.apply_listing(listing, revision(90, 1), 9.0)
         self.assertEqual(self.usable(9.1)["i-1"].cold_until, 3.0)
 
+    def test_missing_in_a_first_copy_is_no_leaving_for_a_second(self):
+        """Guards against holding live upstreams after two restores within seconds."""
+        self.table.apply([entry("i-1", 100)], 0.0)
+        self.table.apply_listing((), revision(90, 1), 0.1)
+        self.assertIn("i-1", self.usable(0.2))
+        listing = (entry("i-1", 95, era=2),)
+        self.table.apply_listing(listing, revision(96, 2), 1.0)
+        self.assertIn("i-1", self.usable(1.1))
+
+    def test_upstreams_expired_in_an_outage_stay_usable_over_a_restore(self):
+        """Guards against holding all upstreams after an outage and a restore."""
+        self.table.record_directory_failure(0.0)
+        self.table.apply([entry("i-1", 10)], 0.0)
+        self.table.apply([entry("i-1", 50, listed=False)], 0.5)
+        self.assertIn("i-1", self.usable(0.9))
+        self.table.apply_listing((entry("i-1", 10, era=1),), revision(20, 1), 1.0)
+        self.assertIn("i-1", self.usable(1.1))
+
+    def test_drained_upstream_that_expired_in_an_outage_stays_unused(self):
+        """Guards against a drain that an expired entry hides from the restore."""
+        self.table.record_directory_failure(0.0)
+        self.table.apply([entry("i-1", 10, draining=True)], 0.0)
+        self.table.apply([entry("i-1", 50, listed=False)], 0.5)
+        self.table.apply_listing((entry("i-1", 9, era=1),), revision(20, 1), 1.0)
+        self.assertEqual(self.usable(1.1), {})
+
+    def test_hold_that_ended_is_not_repeated(self):
+        """Guards against holding an upstream that was used since the last restore.
+
+        A second restore or a gateway that starts later must not hold it again.
+        """
+        self.table.apply([entry("i-1", 10), entry("i-1", 50, listed=False)], 0.0)
+        self.table.apply_listing((entry("i-1", 10, era=1),), revision(20, 1), 2.0)
+        self.assertIn("i-1", self.usable(60.0))
+        started = table()
+        started.apply_listing(self.table.entries(60.0), revision(20, 1), 60.0)
+        self.assertEqual(len(started.usable(60.1)), 1)
+        self.table.apply_listing((entry("i-1", 10, era=2),), revision(20, 2), 600.0)
+        self.assertIn("i-1", self.usable(600.1))
+
+    def test_outdated_removal_of_an_earlier_era_is_ignored(self):
+        """Guards against a paused peer that missed the return of an expired entry."""
+        self.table.apply([entry("i-1", 10), entry("i-1", 50, listed=False)], 0.0)
+        self.table.apply([entry("i-1", 60)], 1.0)
+        self.table.apply_listing((entry("i-1", 60, era=1),), revision(70, 1), 2.0)
+        self.table.apply([entry("i-1", 50, listed=False)], 2.1)
+        self.assertIn("i-1", self.usable(2.2))
+
 
 class _Follower:
     failing = False
@@ -170,7 +264,7 @@
         return envelope.message.updates[0]
 
     def listed(self, view):
-        return {e.id for e in view._table.entries if e.listed}
+        return {e.id for e in view._table.entries(self.clock.now) if e.listed}
 
     async def test_update_of_a_restore_replaces_all_entries(self):
         """Guards against entries that only this gateway had before the restore."""
