Exchange configurations and entries with gateways of earlier releases

Found in a review of: gateways of earlier releases order the configuration by the store's revision, those of this one by the operator's version. A new gateway took 5321 from an old one, and ignored version 18. Entries of old readers, which send no era, counted as older than everything that a new gateway had read.

The version has a field of its own now and is read from the text if a peer sends none; the old field keeps the revision. Data without an era is of the current one. No process of an earlier release was run.

--- a/src/dogwoodshed/_internal/directory/model.py
+++ b/src/dogwoodshed/_internal/directory/model.py
@@ -18,6 +18,8 @@
     number: int = 0
 
 
+# Era of revisions in messages of gateways whose release does not know eras.
+UNKNOWN_ERA = -1
 # Older than every revision of a directory.
 NO_REVISION = DirectoryRevision()
 
@@ -46,12 +48,15 @@
 
 
 class ConfigurationText(NamedTuple):
-    """The text of a configuration and its revision."""
+    """The text of a configuration and its version."""
 
-    # The version that the operator assigns. Unlike revisions of the directory it does
+    # The number that the operator assigns. Unlike revisions of the directory it does
     # not go back when the directory is restored.
-    revision: int
+    version: int
     text: str
+    # Revision of the directory at which the text was written, for gateways of earlier
+    # releases, which order configurations by it.
+    number: int = 0
 
 
 class DirectoryChanges(NamedTuple):
@@ -78,6 +83,10 @@
         because the directory was restored from a copy.
         """
 
+    @abstractmethod
+    def read_version(self, text: str) -> int:
+        """Return the version of a configuration text; raises ConfigurationError."""
+
     @abstractmethod
     def parse(self, text: str, revision: int) -> Configuration:
         """Decode a configuration text; raises ConfigurationError."""
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -11,12 +11,14 @@
 from dogwoodshed._internal.directory.follower import DirectoryFollower
 from dogwoodshed._internal.directory.model import (
     NO_REVISION,
+    UNKNOWN_ERA,
     ConfigurationText,
     DirectoryChanges,
     DirectoryRevision,
     UpstreamEntry,
 )
 from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
+from dogwoodshed._internal.exceptions import ConfigurationError
 from dogwoodshed._internal.mesh.fleet_messages import (
     DirectoryEntry,
     DirectorySnapshot,
@@ -27,6 +29,8 @@
 # A peer may have a later revision while updates are in transit. If this takes longer,
 # some updates were lost.
 GAP_TIMEOUT_S = 0.6
+# Fields of an entry that are the same in messages.
+_SHARED_FIELDS = tuple(name for name in UpstreamEntry._fields if name != "revision")
 # The first data of a large fleet has hundreds of entries; more changes than this at
 # once share one log line.
 MAX_LOGGED_ENTRIES = 8
@@ -40,6 +44,7 @@
         store: ConfigurationStore,
         on_upstreams: Callable[[list[UsableUpstream]], None],
         publish: Callable[[], None],
+        read_version: Callable[[str], int],
         clock: Clock,
         metrics: Metrics,
         *,
@@ -48,6 +53,7 @@
         self._store = store
         self._on_upstreams = on_upstreams
         self._publish = publish
+        self._read_version = read_version
         self._clock = clock
         self._metrics = metrics
         self._table = UpstreamTable(entry_interval)
@@ -116,22 +122,19 @@
 
     def apply_update(self, update: GatewayUpdate) -> None:
         """Apply the directory changes in the update of a peer."""
-        configuration = None
-        if update.configuration_revision:
-            configuration = ConfigurationText(
-                update.configuration_revision, update.configuration
-            )
-        revision = update.reached_revision
+        revision = self._with_known_era(update.reached_revision)
         if revision.number:
             now = self._clock.monotonic()
-            entries = tuple(map(_from_wire, update.entries))
+            entries = tuple(map(self._from_wire, update.entries))
             if update.complete:
                 changed = self._table.apply_listing(entries, revision, now)
             else:
                 changed = self._table.apply(entries, now)
             # If earlier updates are missing, this revision is not reached yet.
-            if update.complete or update.starting_revision <= self._revision:
+            since = self._with_known_era(update.starting_revision)
+            if update.complete or since <= self._revision:
                 self._advance_revision(revision)
+            configuration = self._received_configuration(update)
             self._apply(changed, configuration, update.origin, announce=False)
         self.record_peer_progress(revision, update.directory_age_ms)
 
@@ -139,20 +142,21 @@
         """Return all directory data for a peer."""
         return DirectorySnapshot(
             tuple(map(_to_wire, self._table.entries(self._clock.monotonic()))),
-            self._configuration_text.revision,
+            self._configuration_text.number,
             self._configuration_text.text,
+            configuration_version=self._configuration_text.version,
             **self.directory_progress(),
         )
 
     def apply_snapshot(self, snapshot: DirectorySnapshot, *, announce: bool) -> None:
         """Apply all directory data of a peer; announce new data if `announce`."""
-        revision = snapshot.reached_revision
+        revision = self._with_known_era(snapshot.reached_revision)
         if not revision.number:
             return
         now = self._clock.monotonic()
         # An upstream that is not in the snapshot left before the peer was started.
         changed = self._table.apply_listing(
-            tuple(map(_from_wire, snapshot.entries)), revision, now
+            tuple(map(self._from_wire, snapshot.entries)), revision, now
         )
         if announce:
             self._listing_unannounced |= self._is_restored(revision)
@@ -162,7 +166,7 @@
         self._follower.record_peer_progress(revision, snapshot.directory_age_ms / 1e3)
         self._apply(
             changed,
-            ConfigurationText(snapshot.configuration_revision, snapshot.configuration),
+            self._received_configuration(snapshot),
             "snapshot of a peer",
             announce=announce,
         )
@@ -179,8 +183,9 @@
         self._unannounced_entries = []
         self._listing_unannounced = False
         if self._text_unannounced:
-            fields["configuration_revision"] = self._configuration_text.revision
+            fields["configuration_revision"] = self._configuration_text.number
             fields["configuration"] = self._configuration_text.text
+            fields["configuration_version"] = self._configuration_text.version
             self._text_unannounced = False
         if not fields and not self._has_unannounced_revision:
             return None
@@ -199,6 +204,7 @@
 
     def record_peer_progress(self, revision: DirectoryRevision, age_ms: int) -> None:
         """Record the revision and age of the directory data of a peer."""
+        revision = self._with_known_era(revision)
         if age_ms < 0 or not revision.number:
             return
         if revision <= self._revision:
@@ -208,6 +214,37 @@
         if self._behind_since is None:
             self._behind_since = self._clock.monotonic()
 
+    def _with_known_era(self, revision: DirectoryRevision) -> DirectoryRevision:
+        """Return a received revision, in the current era if the sender knows none."""
+        if revision.era == UNKNOWN_ERA:
+            return revision._replace(era=self._revision.era)
+        return revision
+
+    def _from_wire(self, entry: DirectoryEntry) -> UpstreamEntry:
+        revision = DirectoryRevision(entry.era, entry.revision)
+        return UpstreamEntry(
+            revision=self._with_known_era(revision),
+            **{name: getattr(entry, name) for name in _SHARED_FIELDS},
+        )
+
+    def _received_configuration(
+        self, message: GatewayUpdate | DirectorySnapshot
+    ) -> ConfigurationText | None:
+        """Return the configuration in a message, or None without a valid one."""
+        if not message.configuration:
+            return None
+        version = message.configuration_version
+        if not version:
+            # From a gateway of an earlier release.
+            try:
+                version = self._read_version(message.configuration)
+            except ConfigurationError as error:
+                logging.warning("configuration of a peer ignored: %s", error)
+                return None
+        return ConfigurationText(
+            version, message.configuration, message.configuration_revision
+        )
+
     def _is_restored(self, revision: DirectoryRevision) -> bool:
         """Return whether a revision is the first one known after a restore."""
         return self._revision != NO_REVISION and revision.era > self._revision.era
@@ -250,11 +287,11 @@
             self._loaded.set()
         if (
             configuration is not None
-            and configuration.revision > self._configuration_text.revision
+            and configuration.version > self._configuration_text.version
         ):
             self._configuration_text = configuration
             self._text_unannounced = self._text_unannounced or announce
-            self._store.offer(configuration.text, configuration.revision, source)
+            self._store.offer(configuration.text, configuration.version, source)
         if changed:
             if announce:
                 self._unannounced_entries.extend(changed)
@@ -284,14 +321,7 @@
 
 def _to_wire(entry: UpstreamEntry) -> DirectoryEntry:
     return DirectoryEntry(
-        entry.id,
-        entry.revision.number,
-        *entry[2:],
+        revision=entry.revision.number,
         era=entry.revision.era,
+        **{name: getattr(entry, name) for name in _SHARED_FIELDS},
     )
-
-
-def _from_wire(entry: DirectoryEntry) -> UpstreamEntry:
-    *fields, era = entry
-    upstream_id, number, *rest = fields
-    return UpstreamEntry(upstream_id, DirectoryRevision(era, number), *rest)
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -176,6 +176,7 @@
             self._store,
             self._apply_upstreams,
             self._overlay.publish,
+            directory.read_version,
             self._clock,
             self._metrics,
             entry_interval=settings.platform.entry_interval_ms / 1000,
--- a/src/dogwoodshed/_internal/mesh/fleet_messages.py
+++ b/src/dogwoodshed/_internal/mesh/fleet_messages.py
@@ -5,7 +5,7 @@
 
 from typing import NamedTuple
 
-from dogwoodshed._internal.directory.model import DirectoryRevision
+from dogwoodshed._internal.directory.model import UNKNOWN_ERA, DirectoryRevision
 
 
 class Member(NamedTuple):
@@ -27,7 +27,7 @@
     directory_revision: int = 0
     # Milliseconds since the sender was last known to be up to date; -1 if unknown.
     directory_age_ms: int = -1
-    directory_era: int = 0
+    directory_era: int = UNKNOWN_ERA
 
     @property
     def reached_revision(self) -> DirectoryRevision:
@@ -75,7 +75,7 @@
     cold_ms: int
     left_before_restore: bool = False
     # Era of `revision`.
-    era: int = 0
+    era: int = UNKNOWN_ERA
 
 
 class GatewayUpdate(NamedTuple):
@@ -85,7 +85,7 @@
     incarnation: int
     sequence: int
     entries: tuple[DirectoryEntry, ...] = ()
-    # Revision and text of a new configuration; revision 0 means none.
+    # Revision and text of a new configuration; an empty text means none.
     configuration_revision: int = 0
     configuration: str = ""
     # The update contains every change of the directory after `since_revision` and up to
@@ -97,10 +97,12 @@
     # "leaving" if the gateway stops; otherwise empty.
     state: str = ""
     # Eras of `since_revision` and `directory_revision`.
-    since_era: int = 0
-    directory_era: int = 0
-    # Whether `entries` is all data of the directory.
+    since_era: int = UNKNOWN_ERA
+    directory_era: int = UNKNOWN_ERA
+    # Whether `entries` contains all entries of the directory.
     complete: bool = False
+    # Version that the operator assigned to the configuration; 0 means unknown.
+    configuration_version: int = 0
 
     @property
     def starting_revision(self) -> DirectoryRevision:
@@ -133,7 +135,7 @@
     directory_age_ms: int = -1
     # Whether the last request to the directory failed; another gateway then reads it.
     directory_failing: bool = False
-    directory_era: int = 0
+    directory_era: int = UNKNOWN_ERA
 
 
 class DataCentreLoad(NamedTuple):
@@ -153,7 +155,7 @@
     directory_age_ms: int = -1
     # Members whose last directory request failed; sent in every message.
     failing_readers: tuple[str, ...] = ()
-    directory_era: int = 0
+    directory_era: int = UNKNOWN_ERA
 
     @property
     def reached_revision(self) -> DirectoryRevision:
@@ -185,7 +187,8 @@
     configuration: str
     directory_revision: int
     directory_age_ms: int
-    directory_era: int = 0
+    directory_era: int = UNKNOWN_ERA
+    configuration_version: int = 0
 
     @property
     def reached_revision(self) -> DirectoryRevision:
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -51,6 +51,11 @@
     return DirectoryRevision(era, number)
 
 
+def read_version(text: str) -> int:
+    """Return the version of a text such as "text 17"."""
+    return int(text.rpartition(" ")[2])
+
+
 def table() -> UpstreamTable:
     """Build an empty table of upstreams."""
     return UpstreamTable(ENTRY_INTERVAL_S)
--- a/tests/unit/test_adapter_store.py
+++ b/tests/unit/test_adapter_store.py
@@ -70,4 +70,4 @@
             "has_more": False,
         }
         changes = asyncio.run(_ScriptedStore((3, response)).load())
-        self.assertEqual(changes.configuration.revision, 12)
+        self.assertEqual(changes.configuration.version, 12)
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -13,6 +13,7 @@
     CountingMetrics,
     FakeClock,
     entry,
+    read_version,
     revision,
 )
 
@@ -38,6 +39,7 @@
             store,
             lambda _: None,
             lambda: None,
+            read_version,
             self.clock,
             metrics,
             entry_interval=ENTRY_INTERVAL_S,
--- a/tests/unit/test_restored_directory.py
+++ b/tests/unit/test_restored_directory.py
@@ -12,12 +12,17 @@
 )
 from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S, DirectoryView
 from dogwoodshed._internal.mesh.codec import Decoder, encode
-from dogwoodshed._internal.mesh.fleet_messages import GatewayUpdate, UpdateBatch
+from dogwoodshed._internal.mesh.fleet_messages import (
+    DirectoryEntry,
+    GatewayUpdate,
+    UpdateBatch,
+)
 from tests.lib.fleet_builders import (
     ENTRY_INTERVAL_S,
     CountingMetrics,
     FakeClock,
     entry,
+    read_version,
     revision,
     table,
 )
@@ -246,6 +251,7 @@
             store,
             lambda _: None,
             lambda: None,
+            read_version,
             self.clock,
             metrics,
             entry_interval=ENTRY_INTERVAL_S,
@@ -294,6 +300,30 @@
         self.assertFalse(self.other.has_gap)
         self.assertEqual(self.other.revision, revision(90, 1))
 
+    async def test_configuration_of_an_earlier_release_does_not_block_later_ones(self):
+        """Guards against a rolling upgrade in which no configuration is accepted.
+
+        Earlier releases send the revision of the directory only.
+        """
+        self.other.apply_update(
+            GatewayUpdate("old", 1, 1, (), 5321, "text 17", 0, 5400, 0)
+        )
+        self.other.apply_update(self.read(5410, era=1, version=18))
+        self.assertEqual(self.loaded[0], "text 17")
+        self.assertEqual(self.loaded[-1], "text 18")
+
+    async def test_entries_of_an_earlier_release_are_of_the_current_era(self):
+        """Guards against drains that are ignored while the fleet is upgraded."""
+        self.other.apply_update(self.read(50, entry("i-1", 10, 1), era=1, version=1))
+        self.clock.now += 60.0
+        drained = entry("i-1", draining=True)
+        old = DirectoryEntry(drained.id, 60, *drained[2:-1])
+        self.other.apply_update(
+            GatewayUpdate("old", 1, 1, (old,), 0, "", 50, 60, 0),
+        )
+        self.assertEqual(self.other._table.usable(self.clock.now), [])
+        self.assertEqual(self.other.revision, revision(60, 1))
+
     async def test_older_configuration_of_the_copy_is_ignored(self):
         """Guards against a configuration in force that a restore takes back."""
         self.other.apply_update(self.read(100, version=17))
