Send all entries in an update that spans a restore

A reader with an unsent change of the earlier era, which the listing of another reader reached first, sent an update from the earlier era to the new one with that change alone. A gateway that missed the other update counted as current without the listing.

--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -175,7 +175,10 @@
         """Return the fields of the next update, or None if nothing changed."""
         fields: dict[str, Any] = {}
         entries = self._unannounced_entries
-        if self._listing_unannounced:
+        if self._listing_unannounced or (
+            self._announced_revision.era < self._revision.era
+        ):
+            # Also changes from before a restore of which a peer has told meanwhile.
             entries = self._table.entries(self._clock.monotonic())
             fields["complete"] = True
         if entries:
--- a/tests/unit/test_restored_directory.py
+++ b/tests/unit/test_restored_directory.py
@@ -300,6 +300,24 @@
         self.assertFalse(self.other.has_gap)
         self.assertEqual(self.other.revision, revision(90, 1))
 
+    async def test_update_that_spans_a_restore_contains_all_entries(self):
+        """Guards against a gateway that counts as current without the listing.
+
+        A reader has an unsent change of the earlier era when the listing of another
+        reader reaches it; the update of the other one is lost on its way.
+        """
+        start = self.read(100, entry("i-1", 10), entry("i-2", 99), complete=True)
+        second = self.view()
+        for view in (second, self.other):
+            view.apply_update(start)
+        change = DirectoryChanges(revision(105), (entry("i-3", 105),))
+        second.apply_changes(change)
+        second.apply_update(self.read(90, entry("i-1", 10, 1), era=1, complete=True))
+        update = GatewayUpdate("second", 1, 1, **second.compose_update())
+        self.other.apply_update(update)
+        self.assertEqual(self.listed(self.other), {"i-1"})
+        self.assertEqual(self.other.revision, revision(90, 1))
+
     async def test_configuration_of_an_earlier_release_does_not_block_later_ones(self):
         """Guards against a rolling upgrade in which no configuration is accepted.
 
