Restore the store from earlier copies in the soak

The soak never took the store back to an earlier state, so it could not see that what is written after a restore is ignored. A new fault takes the store away for 0.3 to 2 s (busy, reset or silent) and brings it back from a copy 2 to 9 s old, in 3 of 10 cases again within 1.5 s. Then the operator writes its configuration again within 1 s and each target its entry within 1.5 s; entries of targets that have exited expire. It overlaps with the other faults.

Checks added: a process never goes back to an older configuration than it has served; after the settling time all gateways have the newest one. A target that left must not run calls in the last 2 s, as before; if the store is restored in these 2 s and all four processes were started after the target left, nothing may know that it left, and only then is it passed over.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 import aiohttp
 
 from dogwoodshed._internal.exceptions import StandInError
-from tests.lib.deployment import ROUTES, Deployment, route
+from tests.lib.deployment import CONFIGURATION_KEY, ROUTES, Deployment, route
 from tests.soak.proxy import LoopbackProxy
 
 GATEWAYS = 4
@@ -22,6 +22,9 @@
 # All gateways must be connected again if no fault was active for this time.
 SETTLE_TIME_S = 3.0
 SERVED_AFTER_S = 15.0
+PROBE_INTERVAL_S = 0.25
+# An entry whose target is silent is removed from a restored store after this time.
+EXPIRY_S = 3.0
 
 
 class FinishedCall(NamedTuple):
@@ -38,15 +41,31 @@
 
     def __init__(self, seed: int, seconds: float) -> None:
         self._random = random.Random(seed)
+        # Callers also draw from the other generator, as often as timing permits. With
+        # this one, a seed determines the order of the kinds of faults.
+        self._schedule = random.Random(seed)
+        # Whether the store is restored when the other faults have ended, and again when
+        # the fleet has recovered.
+        self._restores_at_end = self._schedule.random() < 0.5
+        self._restores_after_end = self._schedule.random() < 0.5
         self._seconds = seconds
         self._fleet = Deployment(GATEWAYS, zones=2)
         self._proxies: dict[str, LoopbackProxy] = {}
         self._finished_calls: list[FinishedCall] = []
         self._call_count = 0
         self._gateway_fault_at = [0.0] * GATEWAYS
+        # When the process of each gateway was started for the last time.
+        self._restarted_at = [0.0] * GATEWAYS
         self._store_fault_at = 0.0
+        self._traffic_started_at = 0.0
         self._removed_at: dict[str, float] = {}
         self._gateways_with_fault: set[int] = set()
+        self._restore: asyncio.Task[None] | None = None
+        self._expiries: set[asyncio.Task[None]] = set()
+        # The newest configuration adds a route for each one so far; the number of the
+        # newest one that each process has served.
+        self._configurations = 0
+        self._served: dict[int, int] = {}
         self.violations: list[str] = []
         self.faults: list[str] = []
 
@@ -57,13 +76,18 @@
             for index in range(TARGETS):
                 await self._add_target(f"i-{index}")
             await asyncio.sleep(1.0)
+            self._traffic_started_at = time.monotonic()
             callers = [
                 asyncio.ensure_future(self._send_calls()) for _ in range(CALLERS)
             ]
+            callers += [
+                asyncio.ensure_future(self._probe_configuration(index))
+                for index in range(GATEWAYS)
+            ]
             deadline = time.monotonic() + self._seconds
             while time.monotonic() < deadline:
                 await self._inject_fault()
-                await asyncio.sleep(self._random.uniform(0.1, 0.9))
+                await asyncio.sleep(self._schedule.uniform(0.1, 0.9))
             await self._end_faults()
             await self._check_recovery()
             for caller in callers:
@@ -71,6 +95,8 @@
             await asyncio.gather(*callers, return_exceptions=True)
             self._check_calls()
         finally:
+            for expiry in self._expiries:
+                expiry.cancel()
             for proxy in self._proxies.values():
                 await proxy.stop()
             await self._fleet.stop()
@@ -83,10 +109,9 @@
         await self._publish(name)
 
     async def _publish(self, name: str, **changes: object) -> None:
-        entry = self._fleet.targets[name].entry(
-            address=self._proxies[name].address, **changes
+        await self._fleet.write_target(
+            name, address=self._proxies[name].address, **changes
         )
-        await self._fleet.store.put(f"servers/{name}", entry)
 
     async def _send_calls(self) -> None:
         while True:
@@ -111,14 +136,35 @@
             )
             await asyncio.sleep(self._random.uniform(0.0, 0.03))
 
+    async def _probe_configuration(self, index: int) -> None:
+        """Check that a gateway never goes back to an older configuration."""
+        gateway = self._fleet.gateways[index]
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            pid = gateway.process.pid
+            for number in {self._served.get(pid, 0), self._configurations} - {0}:
+                try:
+                    response = await self._fleet.call(f"/v{number}/a", gateway=index)
+                except (OSError, aiohttp.ClientError, TimeoutError):
+                    continue
+                if gateway.process.pid != pid:
+                    continue
+                if response.status != 404:
+                    self._served[pid] = max(number, self._served.get(pid, 0))
+                elif number <= self._served.get(pid, 0):
+                    self.violations.append(
+                        f"g{index}: went back to a configuration before {number}"
+                    )
+
     async def _inject_fault(self) -> None:
-        fault = self._random.choice(
+        fault = self._schedule.choice(
             (
                 self._disrupt_gateway,
                 self._disrupt_gateway,
                 self._disrupt_connections,
                 self._disrupt_connections,
                 self._disrupt_store,
+                self._restore_store,
                 self._disrupt_target,
                 self._take_out_target,
                 self._change_configuration,
@@ -150,6 +196,7 @@
             number = signal.SIGKILL if kind == "kill" else signal.SIGTERM
             await gateway.stop(number)
             await gateway.start()
+            self._restarted_at[index] = time.monotonic()
         self._gateway_fault_at[index] = time.monotonic()
 
     async def _disrupt_connections(self) -> None:
@@ -183,6 +230,62 @@
             store.mode = mode
             loop.call_later(1.5, setattr, store, "mode", "ok")
 
+    async def _restore_store(self) -> None:
+        if self._restore is None or self._restore.done():
+            self._restore = asyncio.ensure_future(self._run_restores())
+
+    async def _run_restores(self, max_away_s: float = 2.0) -> None:
+        """Restore the store from an old copy, at times twice, and write again."""
+        rewrites = []
+        while not rewrites or self._random.random() < 0.3:
+            await asyncio.sleep(self._random.uniform(0.0, 1.5) if rewrites else 0.0)
+            await self._bring_back_store(self._random.uniform(0.3, max_away_s))
+            rewrites.append(asyncio.ensure_future(self._write_again()))
+        await asyncio.gather(*rewrites)
+
+    async def _bring_back_store(self, away_s: float) -> None:
+        store = self._fleet.store
+        # Each write of a target takes a revision, which will be given out again.
+        for _ in range(self._random.randrange(30)):
+            await self._fleet.write_again(self._random.choice(self._live_keys()))
+        store.mode = self._random.choice(("busy", "reset", "silent"))
+        await asyncio.sleep(away_s)
+        age = self._random.uniform(2.0, 9.0)
+        self.faults.append(f"restore store, {age:.1f} s old")
+        copy = store.copy(min(age, time.monotonic() - self._traffic_started_at))
+        await store.restore(copy, cut_watches=self._random.random() < 0.7)
+        store.mode = "ok"
+        # Targets that have exited are silent, so the platform removes their entries.
+        silent = copy.items.keys() - self._live_keys()
+        self._expiries.add(asyncio.ensure_future(self._expire(silent)))
+
+    def _live_keys(self) -> list[str]:
+        """Return the keys of the operator and of the targets that still run."""
+        exited_before = time.monotonic() - DRAIN_BOUND_S
+        exited = {
+            f"servers/{name}"
+            for name, at in self._removed_at.items()
+            if at < exited_before
+        }
+        return [key for key in self._fleet.written_keys if key not in exited]
+
+    async def _write_again(self) -> None:
+        async def write(key: str, latest_s: float) -> None:
+            await asyncio.sleep(self._random.uniform(0.0, latest_s))
+            await self._fleet.write_again(key)
+
+        await asyncio.gather(
+            *(
+                write(key, 1.0 if key == CONFIGURATION_KEY else 1.5)
+                for key in self._live_keys()
+            )
+        )
+
+    async def _expire(self, keys: set[str]) -> None:
+        await asyncio.sleep(EXPIRY_S)
+        for key in keys:
+            await self._fleet.store.delete(key)
+
     async def _disrupt_target(self) -> None:
         name = self._random.choice(sorted(self._fleet.targets))
         target = self._fleet.targets[name]
@@ -208,18 +311,28 @@
         if draining:
             await self._publish(name, state="draining")
         else:
-            await self._fleet.store.delete(f"servers/{name}")
+            await self._fleet.remove_target(name)
 
     async def _change_configuration(self) -> None:
         self.faults.append("configuration")
         extra = route(f"extra-{self._random.randrange(99)}", "/extra/")
-        await self._fleet.configure(*ROUTES, extra)
+        await self._configure(extra)
+
+    async def _configure(self, *routes: dict[str, object]) -> None:
+        self._configurations += 1
+        numbers = range(1, self._configurations + 1)
+        kept = (route(f"v{number}", f"/v{number}/") for number in numbers)
+        await self._fleet.configure(*ROUTES, *routes, *kept)
 
     async def _end_faults(self) -> None:
+        if self._restores_at_end:
+            await self._restore_store()
         for proxy in self._proxies.values():
             proxy.mode = "pass"
         while self._gateways_with_fault:
             await asyncio.sleep(0.05)
+        if self._restore is not None:
+            await self._restore
         self._fleet.store.mode, self._fleet.store.delay = "ok", 0.0
         for gateway in self._fleet.gateways:
             try:
@@ -228,26 +341,39 @@
                 self.violations.append(str(error))
                 return
         await asyncio.sleep(SETTLE_TIME_S)
-        await self._fleet.configure(*ROUTES, route("last", "/last/"))
+        if self._configurations:
+            settled_at = time.monotonic() - SETTLE_TIME_S
+            await self._check_route(f"/v{self._configurations}/a", settled_at)
+        await self._configure(route("last", "/last/"))
         published_at = time.monotonic()
         await asyncio.sleep(CONFIGURATION_BOUND_S)
+        await self._check_route("/last/a", published_at)
+
+    async def _check_route(self, path: str, published_at: float) -> None:
         for index in range(GATEWAYS):
-            response = await self._fleet.call("/last/a", gateway=index)
+            response = await self._fleet.call(path, gateway=index)
             if response.status == 404:
                 elapsed = time.monotonic() - published_at
                 self.violations.append(
-                    f"g{index}: old configuration after {elapsed:.1f}s"
+                    f"g{index}: old configuration after {elapsed:.1f}s (404 for {path})"
                 )
 
     async def _check_recovery(self) -> None:
         since = time.monotonic()
+        if self._restores_after_end:
+            self._restore = asyncio.ensure_future(self._run_restores(max_away_s=0.5))
         await asyncio.sleep(2.0)
+        if self._restore is not None:
+            self._restore.cancel()
         recent = [
             call.status for call in self._finished_calls if call.finished_at > since
         ]
         if not recent or recent.count(200) < 0.9 * len(recent):
             self.violations.append(f"not recovered: {recent.count(200)}/{len(recent)}")
-        for name in self._removed_at:
+        for name, removed_at in self._removed_at.items():
+            # If all gateways started since then, none may know that the target left.
+            if self._restores_after_end and min(self._restarted_at) > removed_at:
+                continue
             runs = self._fleet.targets[name].runs.values()
             if any(at > since for times in runs for at in times):
                 self.violations.append(
