Check left targets in the soak unless a late restore lists them again

The check after the last restore passed over each target that left before all gateways were started. It now passes over such a target only if that restore has listed it as well, which is the one case in which nothing may know that it left.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -61,6 +61,8 @@
         self._removed_at: dict[str, float] = {}
         self._gateways_with_fault: set[int] = set()
         self._restore: asyncio.Task[None] | None = None
+        # Entries of targets that have exited, which restores listed again.
+        self._brought_back: set[str] = set()
         self._expiries: set[asyncio.Task[None]] = set()
         # The newest configuration adds a route for each one so far; the number of the
         # newest one that each process has served.
@@ -257,6 +259,7 @@
         store.mode = "ok"
         # Targets that have exited are silent, so the platform removes their entries.
         silent = copy.items.keys() - self._live_keys()
+        self._brought_back |= silent
         self._expiries.add(asyncio.ensure_future(self._expire(silent)))
 
     def _live_keys(self) -> list[str]:
@@ -360,6 +363,7 @@
 
     async def _check_recovery(self) -> None:
         since = time.monotonic()
+        self._brought_back.clear()
         if self._restores_after_end:
             self._restore = asyncio.ensure_future(self._run_restores(max_away_s=0.5))
         await asyncio.sleep(2.0)
@@ -372,7 +376,8 @@
             self.violations.append(f"not recovered: {recent.count(200)}/{len(recent)}")
         for name, removed_at in self._removed_at.items():
             # If all gateways started since then, none may know that the target left.
-            if self._restores_after_end and min(self._restarted_at) > removed_at:
+            unknown = min(self._restarted_at) > removed_at
+            if unknown and f"servers/{name}" in self._brought_back:
                 continue
             runs = self._fleet.targets[name].runs.values()
             if any(at > since for times in runs for at in times):
