End the process of a gateway as soon as the gateway has stopped

Callers saw: requests cut at the end of a planned stop by the kill, since the process needs its reserve for sleeping. Cause: the worker of mode sleeps for one second between the end of the last service and that of the process, and up to one second more in steps of 0.1 s. Change: GatewayWorker leaves the sleep out; both ways to run a gateway use it.

--- a/src/dogwoodshed/_internal/commands/gateway.py
+++ b/src/dogwoodshed/_internal/commands/gateway.py
@@ -2,13 +2,12 @@
 
 import argparse
 
-from mode import Worker
-
 from dogwoodshed._internal import registry
 from dogwoodshed._internal.cli import exit_codes
 from dogwoodshed._internal.commands.base import Command
 from dogwoodshed._internal.gateway import Gateway
 from dogwoodshed._internal.settings import Settings
+from dogwoodshed._internal.worker import GatewayWorker
 
 
 @registry.register(registry.COMMAND, "gateway")
@@ -31,7 +30,7 @@
     def run(self, options: argparse.Namespace) -> int:
         """Run the gateway and return its exit code."""
         settings = Settings.from_file(options.settings)
-        worker = Worker(
+        worker = GatewayWorker(
             Gateway.from_settings(settings),
             override_logging=False,
             redirect_stdouts=False,
--- a/tests/functional/test_fleet_gateway.py
+++ b/tests/functional/test_fleet_gateway.py
@@ -182,6 +182,17 @@
         async with asyncio.timeout(6.0):
             self.assertEqual(await gateway.process.wait(), 0)
 
+    async def test_process_ends_with_its_gateway(self):
+        """Guards against spending the grace period of a stop on sleeping.
+
+        mode slept for over a second after the last service had stopped.
+        """
+        gateway = self.fleet.gateways[0]
+        gateway.send_signal(signal.SIGTERM)
+        # The linger of these tests is 0.5 s.
+        async with asyncio.timeout(1.2):
+            self.assertEqual(await gateway.process.wait(), 0)
+
     async def test_failed_call_is_logged_with_its_request_id(self):
         """Guards against a failure that on-call engineers cannot trace."""
         # The event contains the age of the load report once each target has sent one.
