Refuse what a stopping gateway cannot finish, and answer what is left at its end

Callers saw: in a planned stop, requests that arrived 2.6 to 3.6 s after SIGTERM on kept connections were passed on although they could last longer than the grace period, and were cut by its end without an answer, unsafe ones among them; so were requests that still waited for a slot. Cause: all requests on open connections were accepted until the connections were closed; at the end of the drain nothing was answered: aiohttp's shutdown waited for the handlers twice for a second, which is longer than the process lives. Change: each request has an end of the stop. Once the listener is closed, one whose deadline lies after it is refused at once with 503; before, one that cannot be expected to end in time. Those that wait are refused 1.4 s before the kill; those at an upstream get 504 0.8 s before it. The deadline that goes to the upstream lies within the stop.

--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -230,6 +230,13 @@
     title = "upstream timed out"
 
 
+class StoppedDuringCallError(OutcomeUnknownError):
+    """Raised when a gateway stops while an upstream is at work on a call."""
+
+    status = 504
+    title = "gateway stopped before the answer"
+
+
 class UpstreamDisconnectedError(OutcomeUnknownError):
     """Raised when an upstream closes the connection after dispatch."""
 
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -268,6 +268,7 @@
             self._clock,
             self._metrics,
             self._header_names,
+            self._router.expected_service_time,
         )
         await self.add_runtime_dependency(self._endpoints)
         await self.add_runtime_dependency(self._overlay)
@@ -292,10 +293,15 @@
         """Finish all requests in flight, then stop."""
         self._state = STATE_LEAVING
         logging.info("gateway stopping; %d calls in flight", self._server.in_flight)
+        linger = self._settings.limits.stop_linger_s
+        drain_timeout = self._settings.drain_timeout_s
+        self._server.begin_stop(
+            None if drain_timeout is None else linger + drain_timeout
+        )
         await self._overlay.announce_leaving()
-        await self._server.linger(self._settings.limits.stop_linger_s)
+        await self._server.linger(linger)
         await self._server.stop_accepting()
-        await self._server.drain(self._settings.drain_timeout_s)
+        await self._server.drain()
         await self._pools.close()
         self._metrics.flush()
         logging.info("gateway stopped")
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -289,9 +289,10 @@
         """Finish all requests in flight, then stop."""
         self._state = STATE_LEAVING
         self._idempotency.stop_voting()
+        self._server.begin_stop(self._settings.drain_timeout_s)
         await self._mesh.announce_leaving()
         await self._server.stop_accepting()
-        await self._server.drain(self._settings.drain_timeout_s)
+        await self._server.drain()
         await self._idempotency.hand_over_records()
         await self._summaries.hand_over_open_minute()
         await self._pools.close()
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from absl import logging
@@ -21,6 +22,7 @@
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.proxy.callers import CallerConnections
 from dogwoodshed._internal.proxy.headers import DEFAULT_NAMES, HeaderNames
+from dogwoodshed._internal.proxy.planned_stop import PlannedStop
 from dogwoodshed._internal.proxy.requests import check_request, parse_call, read_body
 from dogwoodshed._internal.proxy.response_writer import (
     CALLER_STALL_TIMEOUT_S,
@@ -40,6 +42,10 @@
 # with `Connection: close`, so that callers can disconnect without losing a request.
 IDLE_CONNECTION_GRACE_S = 1.0
 _DRAIN_POLL_INTERVAL_S = 0.02
+# For the responses to the requests that the end of a stop ends, and then for aiohttp to
+# end its tasks.
+_LAST_WRITES_S = 0.2
+_SHUTDOWN_S = 0.05
 # After an early refusal the rest of the request body is read for this long. Closing a
 # connection with unread input would reset it before the caller reads the refusal.
 READ_AFTER_REFUSAL_S = 2.0
@@ -100,9 +106,11 @@
         clock: Clock,
         metrics: Metrics,
         names: HeaderNames = DEFAULT_NAMES,
+        expected_service_time: Callable[[Call], float] = lambda _: 0.0,
     ) -> None:
         self._names = names
         self._stopping = False
+        self._stop = PlannedStop(clock, expected_service_time)
         self._store = store
         self._routes = Routes(None)
         self._forwarder = forwarder
@@ -157,16 +165,21 @@
         self._port = self._socket.getsockname()[1]
         self._accepting = True
 
+    def begin_stop(self, timeout: float | None) -> None:
+        """Serve one more request on each connection, and bound the stop."""
+        self._stopping = True
+        self._stop.begin(timeout)
+
     async def linger(self, seconds: float) -> None:
-        """Keep accepting connections for a while, each for a single request.
+        """Keep accepting connections for a while.
 
         A load balancer in front needs a few checks to notice that this gateway stops.
         """
-        self._stopping = True
         await asyncio.sleep(seconds)
 
     async def stop_accepting(self) -> None:
-        """Close the listening socket; requests on open connections are still served."""
+        """Close the listening socket; open connections get a last response each."""
+        self._stop.end_acceptance()
         if not self._accepting:
             return
         self._accepting = False
@@ -180,23 +193,34 @@
             await self._loop.connect_accepted_socket(self._server, connection)
         self._listener.close()
 
-    async def drain(self, timeout: float | None) -> None:
+    async def drain(self) -> None:
         """Wait until no request is in flight, then close the connections."""
         if self._server is None:
             return
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(self._stop.time_left):
                 await self._wait_for_connections()
         except TimeoutError:
             self._metrics.increment("stop.timed_out")
-        await self._server.shutdown(1.0)
+            await self._end_requests()
+        await self._server.shutdown(_SHUTDOWN_S)
+
+    async def _end_requests(self) -> None:
+        """Respond to the requests that are left instead of closing on them."""
+        self._server.close_idle()
+        self._stop.end_all()
+        ends_at = self._loop.time() + _LAST_WRITES_S
+        while self._in_flight and self._loop.time() < ends_at:
+            await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
 
     async def _wait_for_connections(self) -> None:
         ends_at = self._loop.time() + IDLE_CONNECTION_GRACE_S
         while self._server.connections and self._loop.time() < ends_at:
+            self._stop.reject_waiting()
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
         while self._in_flight:
             self._server.close_idle()
+            self._stop.reject_waiting()
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
         # A connection stays open until the caller has received its whole response.
         ends_at = self._loop.time() + CALLER_STALL_TIMEOUT_S
@@ -208,6 +232,9 @@
         self._begin_request()
         arrived_at = self._clock.monotonic()
         call: Call | None = None
+        is_responding = False
+        task = asyncio.current_task()
+        self._stop.add(task)
         try:
             check_request(request)
             if self._store.current is None:
@@ -216,7 +243,9 @@
                 self._routes = Routes(self._store.current, self._routes)
             call = parse_call(request, self._routes, arrived_at, self._names)
             outbound = await self._read_request(request, call)
+            self._stop.admit(task, call)
             upstream_response = await self._forward(call, outbound)
+            is_responding = True
             response, outcome = await send_response(
                 request,
                 upstream_response,
@@ -229,11 +258,11 @@
             )
             self._record_response(call, arrived_at, response.status, outcome)
         except CallError as error:
-            self._record(
-                call, arrived_at, error.status, error.ran, f"{error.title}: {error}"
-            )
-            response = await send_problem(request, error, close=self._closing)
+            response = await self._send_error(request, call, arrived_at, error)
         except asyncio.CancelledError:
+            stop_error = None if is_responding else self._stop.take_error(task)
+            if stop_error is not None:
+                return await self._send_error(request, call, arrived_at, stop_error)
             self._metrics.increment("calls.cancelled_by_caller")
             self._record(call, arrived_at, 499, "unknown")
             raise
@@ -243,9 +272,21 @@
             self._record(call, arrived_at, error.status, error.ran)
             response = await send_problem(request, error, close=True)
         finally:
+            self._stop.remove(task)
             self._end_request()
         return response
 
+    async def _send_error(
+        self,
+        request: web.BaseRequest,
+        call: Call | None,
+        arrived_at: float,
+        error: CallError,
+    ) -> web.StreamResponse:
+        reason = f"{error.title}: {error}"
+        self._record(call, arrived_at, error.status, error.ran, reason)
+        return await send_problem(request, error, close=self._closing)
+
     async def _read_request(
         self, request: web.BaseRequest, call: Call
     ) -> OutboundRequest:
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -68,7 +68,13 @@
     def log(self) -> str:
         return self._log.read_text(errors="replace")
 
-    def configure(self, store: str, seeds: list[str], **limits: Any) -> None:
+    def configure(
+        self,
+        store: str,
+        seeds: list[str],
+        stop_grace_s: float | None = None,
+        **limits: Any,
+    ) -> None:
         """Write the settings file."""
         settings = {
             "id": self.name,
@@ -90,6 +96,8 @@
             },
             "stop_timeout_s": 2.6,
         }
+        if stop_grace_s is not None:
+            settings["stop_grace_s"] = stop_grace_s
         self._settings.write_text(json.dumps(settings))
 
     async def start(self) -> None:
@@ -152,19 +160,26 @@
             DeployedGateway(f"g{i}", self._folder.name, f"lima-{i % zones}")
             for i in range(gateways)
         ]
+        # Settings of the gateways, if not the usual ones.
+        self.stop_grace_s: float | None = None
+        self.limits: dict[str, Any] = {}
         self._version = 0
         self._session: aiohttp.ClientSession | None = None
 
-    async def start(self, targets: int = 2, routes: tuple = ROUTES) -> None:
+    async def start(
+        self, targets: int = 2, routes: tuple = ROUTES, slots: int = 4
+    ) -> None:
         """Start everything and wait until all gateways are ready."""
         self.open_session()
         await self.store.start()
         for index in range(targets):
-            await self.add_target(f"i-{index}")
+            await self.add_target(f"i-{index}", slots=slots)
         await self.configure(*routes)
         seeds = [gateway.control for gateway in self.gateways[:3]]
         for gateway in self.gateways:
-            gateway.configure(self.store.address, seeds)
+            gateway.configure(
+                self.store.address, seeds, self.stop_grace_s, **self.limits
+            )
             await gateway.start()
         await asyncio.gather(*(gateway.wait_ready() for gateway in self.gateways))
 
@@ -184,10 +199,10 @@
         self._folder.cleanup()
 
     async def add_target(
-        self, target_id: str, service: str = "profiles"
+        self, target_id: str, service: str = "profiles", slots: int = 4
     ) -> TargetStandIn:
         """Start a target and publish it."""
-        target = TargetStandIn(target_id, service)
+        target = TargetStandIn(target_id, service, slots=slots)
         await target.start()
         self.targets[target_id] = target
         await self.store.put(f"servers/{target_id}", target.entry())
--- a/tests/lib/target_standin.py
+++ b/tests/lib/target_standin.py
@@ -20,6 +20,8 @@
         self.zone = zone
         self.slots = slots
         self.service_time_s = 0.02
+        # Service times of single requests, by request id.
+        self.service_times: dict[str, float] = {}
         # Start times of the runs by request id.
         self.runs: dict[str, list[float]] = {}
         self.cancelled: list[str] = []
@@ -122,9 +124,10 @@
         """Run a request; return False if its connection is closed meanwhile."""
         self.running += 1
         try:
-            ends_at = time.monotonic() + self.service_time_s
+            service_time = self.service_times.get(request_id, self.service_time_s)
+            ends_at = time.monotonic() + service_time
             while time.monotonic() < ends_at:
-                await asyncio.sleep(min(0.005, self.service_time_s))
+                await asyncio.sleep(min(0.005, service_time))
                 if reader.at_eof() or reader.exception() is not None:
                     self.cancelled.append(request_id)
                     return False
--- a/tests/unit/test_deploy_settings.py
+++ b/tests/unit/test_deploy_settings.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 from dogwoodshed._internal.configuration.document import parse_document
+from dogwoodshed._internal.proxy.planned_stop import LAST_ANSWERS_S
 from dogwoodshed._internal.settings import Settings
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -31,6 +32,9 @@
 # Requests may arrive for this long after a SIGTERM. They are finished if they end by
 # this share of the grace period.
 LAST_ARRIVAL_S = 3.0
+# Time for the last responses and the end of the process, which takes 0.02 s on an idle
+# machine.
+PROCESS_END_S = 0.7
 FINISHED_SHARE = 5 / 6
 
 
@@ -59,6 +63,15 @@
             drained_at = settings.limits.stop_linger_s + settings.drain_timeout_s
             self.assertLess(drained_at + SHUTDOWN_S, grace_period)
 
+    def test_planned_stop_ends_requests_in_the_last_sixth(self):
+        """Guards against ending requests too early, or not before the kill."""
+        for grace_period in GRACE_PERIODS_S:
+            settings = self.render(grace_period)
+            drained_at = settings.limits.stop_linger_s + settings.drain_timeout_s
+            ended_at = drained_at + LAST_ANSWERS_S
+            self.assertGreater(ended_at, FINISHED_SHARE * grace_period)
+            self.assertLess(ended_at + PROCESS_END_S, grace_period)
+
     def test_planned_stop_finishes_slow_requests(self):
         """Guards against requests cut off although the grace period allows more time.
 
