Answer requests that were read behind another one during a stop

Callers saw: of two requests sent together, the second was read and got no answer when the gateway was stopping. Cause: the response to the first closed the connection, whatever had been read behind it. Change: the last request that has been read closes the connection. Result: test_pipelined_requests failed before ("15 != 0 : of 30", each second request); now each gets its answer or a refusal.

--- a/src/dogwoodshed/_internal/proxy/callers.py
+++ b/src/dogwoodshed/_internal/proxy/callers.py
@@ -18,6 +18,11 @@
         waiter = self._waiter
         return waiter is not None and not waiter.done()
 
+    @property
+    def has_next_request(self) -> bool:
+        """Return whether a request behind the current one has been read."""
+        return bool(self._messages)
+
     @property
     def _has_partial_head(self) -> bool:
         # aiohttp has no public state for this; test_endless_requests fails if one of
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -254,7 +254,7 @@
                     self._limits.max_response_bytes,
                     call.deadline - self._clock.monotonic(),
                 ),
-                close=self._closing,
+                close=self._closes_after(request),
             )
             self._record_response(call, arrived_at, response.status, outcome)
         except CallError as error:
@@ -285,7 +285,11 @@
     ) -> web.StreamResponse:
         reason = f"{error.title}: {error}"
         self._record(call, arrived_at, error.status, error.ran, reason)
-        return await send_problem(request, error, close=self._closing)
+        return await send_problem(request, error, close=self._closes_after(request))
+
+    def _closes_after(self, request: web.BaseRequest) -> bool:
+        # A request that has been read behind this one gets its response, too.
+        return self._closing and not request.protocol.has_next_request
 
     async def _read_request(
         self, request: web.BaseRequest, call: Call
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -170,6 +170,19 @@
         statuses = [ending.status for ending in endings[: len(whole)]]
         self.assertEqual(statuses, [200] * len(whole))
 
+    async def test_pipelined_requests(self):
+        """Guards against a whole request that is read and dropped by the close."""
+        pairs = [
+            [
+                Plan(f"p{number}", number / 4, 0.3),
+                Plan(f"q{number}", number / 4, 0.3, unsafe=True),
+            ]
+            for number in range(-1, 14)
+        ]
+        endings = await self.run_stop(*pairs)
+        self.assertEqual(len(endings), 30)
+        self.check_closes(endings[1::2])
+
 
 class StopWithQueueTest(StopTestCase):
     targets = 2
