Do not believe a repeated refusal that has no request id

Seen by callers: a write whose upstream wrote the refusal of an earlier request once more on the kept connection was sent to a second upstream while the first ran it, or was answered 503 "not run". Reported by operators of a similar system. Cause: a success had to echo the request id, an error did not; any error without an id counted as the response to the request in flight. Copies with the old id were skipped already. A request without an id took the response to any other. Change: a connection is not used again after a response without an id. All earlier responses on a connection in use therefore had an id, and an error without one can be a copy only if an error with its status came before, perhaps with an id that the copy lacks; then the outcome is unknown: 502, no move of a write. Otherwise the refusal is the request's own and stays one. Responses with an id are skipped for requests without one. A 101 response is matched like any other final response.

--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -4,6 +4,7 @@
 import errno
 import functools
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -39,6 +40,7 @@
     the next request is expected.
     """
 
+    # None if responses echo no id; they cannot be matched then.
     id_header: str | None = None
     expected_id: str | None = None
     max_interim_responses = 1
@@ -47,6 +49,11 @@
     _interim_responses = 0
     _skipped_responses = 0
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        # Statuses of the errors that were received on this connection.
+        self._error_statuses: set[int] = set()
+
     @property
     def _expects_head(self) -> bool:
         return self._payload is None or self._payload.is_eof()
@@ -61,24 +68,40 @@
         """Return the next response to the current request; raises ClientError."""
         while True:
             message, payload = await super().read()
-            if message.code < 200:
+            status = message.code
+            if status < 200 and status != HTTPStatus.SWITCHING_PROTOCOLS:
                 self._interim_responses += 1
                 if self._interim_responses > self.max_interim_responses:
                     raise aiohttp.ServerDisconnectedError("too many interim responses")
                 return message, payload
-            if self.expected_id is None:
+            if self.id_header is None:
                 return message, payload
             echoed = message.headers.get(self.id_header)
-            if echoed is None and message.code < 300:
-                # It may be a late copy of the response to an earlier request.
-                raise aiohttp.ServerDisconnectedError("success without the request id")
-            if echoed is None or echoed == self.expected_id:
+            if not echoed:
+                self._check_unidentified(status)
+                return message, payload
+            if status >= 300:
+                self._error_statuses.add(status)
+            if echoed == self.expected_id:
                 return message, payload
             self._skipped_responses += 1
             if self._skipped_responses > MAX_SKIPPED_RESPONSES:
                 raise aiohttp.ServerDisconnectedError("too many late responses")
             await _skip_body(payload)
 
+    def _check_unidentified(self, status: int) -> None:
+        """Raise ClientError if a response without an id may be a late copy.
+
+        The connection is not used again, since a later copy could not be recognized.
+        All earlier responses therefore had an id, and a response without one can only
+        be the copy of an earlier error if it has the same status.
+        """
+        self.force_close()
+        if status < 300 and self.expected_id is not None:
+            raise aiohttp.ServerDisconnectedError("success without the request id")
+        if status in self._error_statuses:
+            raise aiohttp.ServerDisconnectedError("error without the request id")
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close a connection on which none are expected."""
         if not data and not self.idle:
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -53,6 +53,10 @@
         """Listen on loopback."""
         self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
 
+    def close(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
