Close the connection of a response that is abandoned while it is buffered

Seen by upstreams: with `limits.hold_unsized`, an upstream that had sent part of a response without a length went on working for a caller that had disconnected, on a connection that stayed open until the garbage collector found it. Each such response, and each cut one, logged "Unclosed response" or "Unclosed connection". Found while cutting responses at all positions. Cause: the response is read in parts; unlike `ClientResponse.read`, that leaves the connection open after an error, and the traceback of the cancellation keeps the response in a cycle. Change: the response is closed after any error while it is buffered. Test: test_abandoned_responses stops in the body and disables the collector.

--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -320,15 +320,23 @@
     """Buffer a short response of unknown length; stream a longer one."""
     parts: list[bytes] = []
     size = 0
-    while size <= MAX_BUFFERED_RESPONSE_BYTES:
-        part = await response.content.readany()
-        if not part:
-            body = b"".join(parts)
-            return UpstreamResponse(
-                None, response.status, response_headers, body, reason=response.reason
-            )
-        parts.append(part)
-        size += len(part)
+    try:
+        while size <= MAX_BUFFERED_RESPONSE_BYTES:
+            part = await response.content.readany()
+            if not part:
+                return UpstreamResponse(
+                    None,
+                    response.status,
+                    response_headers,
+                    b"".join(parts),
+                    reason=response.reason,
+                )
+            parts.append(part)
+            size += len(part)
+    except BaseException:
+        # Unlike `read`, reading in parts leaves the connection open after an error.
+        response.close()
+        raise
     return UpstreamResponse(
         response,
         response.status,
