--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -4,6 +4,8 @@
 import functools
 import json
 import re
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -12,6 +14,7 @@
 from tests.lib import builders
 
 TIMEOUT_S = 10.0
+LINGER_ZERO = struct.pack("ii", 1, 0)
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
@@ -90,6 +93,13 @@
     return await reader.readexactly(int(match[1])) if match else b""
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, which an orderly close would end as if it were complete."""
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
+    writer.transport.abort()
+
+
 def respond_with(data: bytes) -> Script:
     """Return a script that responds with the given bytes."""
 
--- a/tests/unit/test_late_responses.py
+++ b/tests/unit/test_late_responses.py
@@ -1,8 +1,6 @@
 """Test that a response is only used for the request that it belongs to."""
 
 import asyncio
-import socket
-import struct
 import unittest
 
 import aiohttp
@@ -10,8 +8,7 @@
 from dogwoodshed._internal.proxy.connections import UpstreamPool
 from dogwoodshed._internal.proxy.headers import HeaderNames
 from dogwoodshed._internal.settings import LimitSettings
-
-LINGER_ZERO = struct.pack("ii", 1, 0)
+from tests.lib.raw import reset_connection
 
 
 def build_response(request_id: str, body: bytes, length_header: str = "") -> bytes:
@@ -56,9 +53,7 @@
             if reset:
                 await asyncio.sleep(0.02)
                 # Without a reset, the response would end as if it were complete.
-                connection = writer.get_extra_info("socket")
-                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_ZERO)
-                writer.transport.abort()
+                reset_connection(writer)
 
         self.replies.append(write_reply)
 
