--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -56,7 +56,7 @@
         self.name = name
         self.zone = zone
         self.port, self.ready_port, self.control_port = free_ports(3)
-        self._settings = Path(folder) / f"{name}.jsonc"
+        self.settings_path = Path(folder) / f"{name}.jsonc"
         self._log = Path(folder) / f"{name}.log"
         self.process: asyncio.subprocess.Process | None = None
 
@@ -98,7 +98,7 @@
         }
         if stop_grace_s is not None:
             settings["stop_grace_s"] = stop_grace_s
-        self._settings.write_text(json.dumps(settings))
+        self.settings_path.write_text(json.dumps(settings))
 
     async def start(self) -> None:
         """Start the process without waiting until it is ready."""
@@ -107,7 +107,7 @@
                 sys.executable,
                 str(ROOT / "platform"),
                 f"127.0.0.1:{self.port}",
-                env={"DOGWOODSHED_CONFIG": str(self._settings), "PATH": os.defpath},
+                env={"DOGWOODSHED_CONFIG": str(self.settings_path), "PATH": os.defpath},
                 stdout=log,
                 stderr=log,
             )
--- a/tests/lib/stop_callers.py
+++ b/tests/lib/stop_callers.py
@@ -69,13 +69,14 @@
 
     async def keep_connections(self, plans: list[Plan]) -> None:
         """Open the connections of the plans that keep one, and use each once."""
-        for plan in plans:
-            if plan.keeps:
-                streams = await asyncio.open_connection("127.0.0.1", self._port)
-                self._connections[plan.request_id] = streams
-                first = Plan(f"first-{plan.request_id}", 0.0, 0.0)
-                streams[1].write(b"".join(request_parts(first)))
-                await _read_response(streams[0])
+        await asyncio.gather(*(self._keep(plan) for plan in plans if plan.keeps))
+
+    async def _keep(self, plan: Plan) -> None:
+        streams = await asyncio.open_connection("127.0.0.1", self._port)
+        self._connections[plan.request_id] = streams
+        first = Plan(f"first-{plan.request_id}", 0.0, 0.0)
+        streams[1].write(b"".join(request_parts(first)))
+        await _read_response(streams[0])
 
     def start_clock(self, delay: float = 0.0) -> None:
         """Take the moment after a delay as that of the signal."""
