--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -29,11 +29,12 @@
 
 
 class StopTestCase(unittest.IsolatedAsyncioTestCase):
+    gateways = 1
     targets = 4
     slots = 100
 
     async def asyncSetUp(self):
-        self.fleet = Deployment()
+        self.fleet = Deployment(self.gateways)
         self.fleet.stop_grace_s = GRACE_S
         self.fleet.limits = {"stop_linger_s": LINGER_S, "queue_length": 500}
         try:
@@ -42,7 +43,8 @@
         except BaseException:
             await self.fleet.stop()
             raise
-        self.gateway = self.fleet.gateways[0]
+        # The first gateway is the hub.
+        self.gateway = self.fleet.gateways[-1]
         self.callers = StopCallers(self.gateway.port)
         self.killer = None
 
@@ -195,3 +197,25 @@
             for number in range(-10, 19)
         ]
         await self.run_stop(*([plan] for plan in plans))
+
+
+class StopWithQueueAtHubTest(StopTestCase):
+    gateways = 2
+    targets = 2
+    slots = 1
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # Started again, it is the younger one and asks the hub for each place.
+        await self.gateway.stop()
+        await self.gateway.start()
+        await self.gateway.wait_ready()
+
+    async def test_requests_in_the_queue_of_the_hub(self):
+        """Guards against a stop that ends while the hub still keeps a request."""
+        plans = [
+            Plan(f"h{number}", number / 5, 1.5, unsafe=bool(number % 2))
+            for number in range(-10, 19)
+        ]
+        await self.run_stop(*([plan] for plan in plans))
+        self.assertIn(" by g0", self.gateway.log)
