Rule out that a cut request reaches an upstream as a whole one

The raw server takes a chunked body that ends early for an incomplete request instead of failing with ValueError.

--- a/tests/lib/loopback_proxy.py
+++ b/tests/lib/loopback_proxy.py
@@ -97,6 +97,10 @@
         """Keep the record of a call."""
         self.records.append(record)
 
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a connection to the proxy."""
+        return await asyncio.open_connection("127.0.0.1", self._server.port)
+
     async def call(
         self,
         request_id: str | None,
@@ -116,7 +120,7 @@
         ]
         if request_id is not None:
             lines.append(f"{REQUEST_ID}: {request_id}")
-        reader, writer = await asyncio.open_connection("127.0.0.1", self._server.port)
+        reader, writer = await self.connect()
         try:
             writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
             async with asyncio.timeout(TIMEOUT_S):
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -83,10 +83,10 @@
     """Read the body that follows a message head, without its transfer coding."""
     if re.search(rb"(?i)\r\ntransfer-encoding: *chunked", head):
         body = b""
-        while size := int((await reader.readline()).split(b";")[0], 16):
+        while size := int((await reader.readuntil(b"\n")).split(b";")[0], 16):
             body += await reader.readexactly(size)
-            await reader.readline()
-        while (await reader.readline()).strip():
+            await reader.readuntil(b"\n")
+        while (await reader.readuntil(b"\n")).strip():
             pass
         return body
     match = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
