--- a/tests/lib/loopback_proxy.py
+++ b/tests/lib/loopback_proxy.py
@@ -88,7 +88,8 @@
     async def stop(self) -> None:
         """Close all connections."""
         await self._server.stop_accepting()
-        await self._server.drain(0.0)
+        self._server.begin_stop(0.0)
+        await self._server.drain()
         await self._pools.close()
         for upstream in self.upstreams:
             upstream.close()
