Include the configuration in complete updates

A complete update moves a gateway to the new era without a gap. One that had missed the update with the configuration kept the older one until the next change. test_complete_update_contains_the_configuration failed before: 'text 17' != 'text 18'.

--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -181,6 +181,8 @@
             # Also changes from before a restore of which a peer has told meanwhile.
             entries = self._table.entries(self._clock.monotonic())
             fields["complete"] = True
+            # A gateway that missed the update with it would see no gap any more.
+            self._text_unannounced = bool(self._configuration_text.text)
         if entries:
             fields["entries"] = tuple(map(_to_wire, entries))
         self._unannounced_entries = []
--- a/src/dogwoodshed/_internal/mesh/fleet_messages.py
+++ b/src/dogwoodshed/_internal/mesh/fleet_messages.py
@@ -99,7 +99,7 @@
     # Eras of `since_revision` and `directory_revision`.
     since_era: int = UNKNOWN_ERA
     directory_era: int = UNKNOWN_ERA
-    # Whether `entries` contains all entries of the directory.
+    # Whether the update contains all entries and the configuration.
     complete: bool = False
     # Version that the operator assigned to the configuration; 0 means unknown.
     configuration_version: int = 0
--- a/tests/unit/test_restored_directory.py
+++ b/tests/unit/test_restored_directory.py
@@ -318,6 +318,17 @@
         self.assertEqual(self.listed(self.other), {"i-1"})
         self.assertEqual(self.other.revision, revision(90, 1))
 
+    async def test_complete_update_contains_the_configuration(self):
+        """Guards against a missed configuration that no gap tells of.
+
+        A gateway that had missed its update kept the older one until the next change.
+        """
+        self.other.apply_update(self.read(100, version=17, complete=True))
+        self.read(101, version=18)
+        self.other.apply_update(self.read(90, era=1, version=17, complete=True))
+        self.assertEqual(self.other.revision, revision(90, 1))
+        self.assertEqual(self.other.snapshot().configuration, "text 18")
+
     async def test_configuration_of_an_earlier_release_does_not_block_later_ones(self):
         """Guards against a rolling upgrade in which no configuration is accepted.
 
