Announce all entries only with changes of the gateway's own

Since a gateway that had never announced anything sent all entries with each flush, many times a second, as soon as the era of the store was not 0.

--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -87,6 +87,14 @@
     def revision(self) -> DirectoryRevision:
         return self._revision
 
+    @property
+    def _has_unannounced_changes(self) -> bool:
+        return bool(
+            self._has_unannounced_revision
+            or self._unannounced_entries
+            or self._text_unannounced
+        )
+
     @property
     def has_gap(self) -> bool:
         """Return whether updates that peers have did not reach this gateway."""
@@ -173,6 +181,8 @@
 
     def compose_update(self) -> dict[str, Any] | None:
         """Return the fields of the next update, or None if nothing changed."""
+        if not self._has_unannounced_changes:
+            return None
         fields: dict[str, Any] = {}
         entries = self._unannounced_entries
         if self._listing_unannounced or (
@@ -192,8 +202,6 @@
             fields["configuration"] = self._configuration_text.text
             fields["configuration_version"] = self._configuration_text.version
             self._text_unannounced = False
-        if not fields and not self._has_unannounced_revision:
-            return None
         self._has_unannounced_revision = False
         fields["since_revision"] = self._announced_revision.number
         fields["since_era"] = self._announced_revision.era
@@ -256,11 +264,7 @@
 
     def _announce_revision(self, revision: DirectoryRevision) -> None:
         """Announce a revision in the next update, which starts at the current one."""
-        if not (
-            self._has_unannounced_revision
-            or self._unannounced_entries
-            or self._text_unannounced
-        ):
+        if not self._has_unannounced_changes:
             self._announced_revision = self._revision
         self._has_unannounced_revision = (
             self._has_unannounced_revision or revision > self._revision
--- a/tests/unit/test_restored_directory.py
+++ b/tests/unit/test_restored_directory.py
@@ -318,6 +318,14 @@
         self.assertEqual(self.listed(self.other), {"i-1"})
         self.assertEqual(self.other.revision, revision(90, 1))
 
+    async def test_updates_of_others_are_not_announced_again(self):
+        """Guards against gateways that all send everything at each flush."""
+        self.other.apply_update(self.read(100, entry("i-1", 10, 1), era=1))
+        self.assertIsNone(self.other.compose_update())
+        self.other.apply_update(self.read(90, era=2, complete=True))
+        self.assertIsNone(self.other.compose_update())
+        self.assertIsNone(self.reader.compose_update())
+
     async def test_complete_update_contains_the_configuration(self):
         """Guards against a missed configuration that no gap tells of.
 
