Do not use upstreams again that left before the directory failed

Callers could be sent to an upstream for up to 3.4 s after its removal: a failed request to the directory extended the grace of all removed upstreams, also of those whose grace had ended and that had left. Only removals from the first failure on may be entries that expired in the outage.

--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -65,6 +65,7 @@
         self._rows: dict[str, _Row] = {}
         # Ids of the rows with a removed entry, the earliest removal first.
         self._removed_ids: dict[str, None] = {}
+        self._outage_since = float("-inf")
         self._outage_grace_until = float("-inf")
         # Up to this revision, an upstream without a row has been removed.
         self._complete_revision = NO_REVISION
@@ -75,6 +76,8 @@
 
     def record_directory_failure(self, now: float) -> None:
         """Record a failed directory request, after which entries may expire."""
+        if now >= self._outage_grace_until:
+            self._outage_since = now
         self._outage_grace_until = now + RETURN_GRACE_S
 
     def apply(
@@ -129,7 +132,7 @@
         return min((expiry for expiry in expiries if expiry > now), default=None)
 
     def _absent_until(self, row: _Row) -> float:
-        if row.absent_since < self._outage_grace_until:
+        if self._outage_since <= row.absent_since < self._outage_grace_until:
             return max(
                 row.absent_until,
                 min(
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -50,6 +50,20 @@
         self.table.apply([entry("i-1", 8)], 11.0)
         self.assertFalse(self.usable(20.0)["i-1"].absent)
 
+    def test_outage_does_not_return_an_upstream_that_left_before(self):
+        """Guards against calls to a removed upstream when the directory fails later.
+
+        Every failed request extended the grace of all upstreams, also of those whose
+        grace had ended.
+        """
+        self.table.apply([entry("i-1", 1)], 0.0)
+        self.table.apply([entry("i-1", 2, listed=False)], 10.0)
+        self.assertEqual(self.usable(10.0 + ABSENCE_GRACE_S), {})
+        self.table.record_directory_failure(10.0 + ABSENCE_GRACE_S)
+        self.assertEqual(self.usable(10.0 + ABSENCE_GRACE_S), {})
+        self.table.record_directory_failure(11.0 + ABSENCE_GRACE_S)
+        self.assertEqual(self.usable(11.0 + ABSENCE_GRACE_S), {})
+
     def test_listing_removes_only_older_entries(self):
         """Guards against a listing that drops an upstream added while it was read."""
         self.table.apply([entry("i-1", 3), entry("i-9", 9)], 0.0)
