Reset the connection of a response that the end of a stop cuts

An HTTP/1.0 caller got the start of a response without a length and then an orderly close, which ends such a response: it looked whole.

--- a/src/dogwoodshed/_internal/proxy/response_writer.py
+++ b/src/dogwoodshed/_internal/proxy/response_writer.py
@@ -139,6 +139,10 @@
         _reset_connection(request)
     except (ConnectionError, TimeoutError):
         _reset_connection(request)
+    except asyncio.CancelledError:
+        # An orderly close would end a response without a length as if it were whole.
+        _reset_connection(request)
+        raise
     finally:
         if not is_complete:
             upstream_response.client_response.close()
--- /dev/null
+++ b/tests/functional/test_plain_stop.py
@@ -0,0 +1,30 @@
+"""Test the planned stop of a gateway without a linger."""
+
+import asyncio
+import signal
+
+from tests.lib.raw import RawHttpTestCase, run_on_class_loop
+
+BODY = b"x" * 100_000
+
+
+class StopDuringStreamTest(RawHttpTestCase):
+    settings = {"stop_timeout_s": 1.0}
+
+    @run_on_class_loop
+    async def test_cut_response_without_length_is_reset(self):
+        """Guards against a response that the stop cuts and that looks complete."""
+
+        async def script(request, reader, writer):
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + BODY)
+            await writer.drain()
+            await asyncio.sleep(10.0)
+
+        self.upstream.script = script
+        reader, writer = await self.connect()
+        writer.write(b"GET /raw HTTP/1.0\r\nHost: example.test\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        self.gateway.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(4.0):
+            with self.assertRaises(ConnectionError):
+                await reader.read()
