Wait at the end of a stop for requests that were read behind others

The stop ended in a moment in which no request was in flight, between two that had been sent together: what had been read behind them got no response.

--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -210,15 +210,22 @@
         self._server.close_idle()
         self._stop.end_all()
         ends_at = self._loop.time() + _LAST_WRITES_S
-        while self._in_flight and self._loop.time() < ends_at:
+        while self._has_requests and self._loop.time() < ends_at:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
 
+    @property
+    def _has_requests(self) -> bool:
+        """Return whether requests are in flight or have been read behind these."""
+        return bool(self._in_flight) or any(
+            connection.has_next_request for connection in self._server.connections
+        )
+
     async def _wait_for_connections(self) -> None:
         ends_at = self._loop.time() + IDLE_CONNECTION_GRACE_S
         while self._server.connections and self._loop.time() < ends_at:
             self._stop.reject_waiting()
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
-        while self._in_flight:
+        while self._has_requests:
             self._server.close_idle()
             self._stop.reject_waiting()
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
--- a/src/dogwoodshed/_internal/worker.py
+++ b/src/dogwoodshed/_internal/worker.py
@@ -11,5 +11,6 @@
     """
 
     async def _sentinel_task(self) -> None:
-        # mode has no public hook for this; test_planned_stop fails if it is renamed.
+        # mode has no public hook for this; test_process_ends_with_its_gateway fails if
+        # it is renamed.
         return
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -186,6 +186,26 @@
         self.check_closes(endings[1::2])
 
 
+class StopWithPipelinesTest(StopTestCase):
+    slots = 200
+
+    async def test_pipelined_requests_behind_a_stuck_one(self):
+        """Guards against requests dropped behind one that the end of the stop ends.
+
+        The requests of 40 connections went on in step, and the stop ended in a moment
+        in which none was in flight: each fifth request got no response.
+        """
+        plans = [
+            [
+                Plan(f"{position}-{n}", -0.2, 20.0, unsafe=position > 0, keeps=False)
+                for position in range(5)
+            ]
+            for n in range(40)
+        ]
+        # Checks that each request gets a response.
+        await self.run_stop(*plans)
+
+
 class StopWithQueueTest(StopTestCase):
     targets = 2
     slots = 1
