Accept during a stop what its deadline or the time left allows

Found in a review of: a gateway without a linger refused each request on a kept connection whose deadline lay after the stop, also one of a millisecond; and a call that its own deadline ends in time had to fit two service times.

--- a/src/dogwoodshed/_internal/proxy/planned_stop.py
+++ b/src/dogwoodshed/_internal/proxy/planned_stop.py
@@ -22,9 +22,9 @@
 class PlannedStop:
     """The requests in flight of a server, and how long each may last in a stop.
 
-    Until the acceptance ends, a request is served if it can be expected to be finished.
-    After that only if its own deadline ends it in time: the caller of any other would
-    lose it without an answer, and can still go to another gateway now.
+    A request is served if its own deadline ends it in time. Others are served until the
+    acceptance ends, if they can be expected to be finished: their callers would lose
+    them without an answer, and can still go to another gateway.
     """
 
     def __init__(
@@ -70,9 +70,13 @@
         self._calls[task] = call
         if self._ends_at == float("inf"):
             return
-        if not self._accepting and call.deadline > self._ends_at:
-            raise ShuttingDownError("cannot be finished")
-        if not self._can_start(call, RESERVE_SERVICE_TIMES):
+        if call.deadline <= self._ends_at:
+            is_accepted = self._clock.monotonic() < self._starts_until
+        else:
+            is_accepted = self._accepting and self._can_start(
+                call, RESERVE_SERVICE_TIMES
+            )
+        if not is_accepted:
             raise ShuttingDownError("cannot be finished")
         call.deadline = min(call.deadline, self._ends_at)
 
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -176,10 +176,12 @@
         A load balancer in front needs a few checks to notice that this gateway stops.
         """
         await asyncio.sleep(seconds)
+        if seconds:
+            # Callers have had the time to open connections to other gateways.
+            self._stop.end_acceptance()
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections get a last response each."""
-        self._stop.end_acceptance()
         if not self._accepting:
             return
         self._accepting = False
--- a/tests/functional/test_plain_stop.py
+++ b/tests/functional/test_plain_stop.py
@@ -28,3 +28,21 @@
         async with asyncio.timeout(4.0):
             with self.assertRaises(ConnectionError):
                 await reader.read()
+
+
+class StopWithKeptConnectionTest(RawHttpTestCase):
+    settings = {"stop_timeout_s": 3.0}
+
+    @run_on_class_loop
+    async def test_quick_request_on_a_kept_connection(self):
+        """Guards against refusing what ends in milliseconds, with seconds left."""
+        reader, writer = await self.connect()
+        request = b"GET /raw HTTP/1.1\r\nHost: example.test\r\n\r\n"
+        writer.write(request)
+        await reader.readuntil(b"\r\n\r\n")
+        await reader.readexactly(2)
+        self.gateway.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        writer.write(request)
+        head = await reader.readuntil(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 200"), head)
