Do not report a repeat with a key as not run when a stop ends it

A repeat that waited for the first call with its idempotency key got 503, "not run", although the first call was at an upstream.

--- a/src/dogwoodshed/_internal/proxy/planned_stop.py
+++ b/src/dogwoodshed/_internal/proxy/planned_stop.py
@@ -99,7 +99,8 @@
         while task.cancelling():
             task.uncancel()
         call = self._calls.get(task)
-        if call is None or not call.dispatched:
+        # A repeat with a key may wait for the first call, which has run.
+        if call is None or not (call.dispatched or call.key is not None):
             return ShuttingDownError("waited until the end of the stop")
         return StoppedDuringCallError(call.service.name)
 
--- a/tests/functional/test_plain_stop.py
+++ b/tests/functional/test_plain_stop.py
@@ -30,6 +30,27 @@
                 await reader.read()
 
 
+class StopOfKeyedCallTest(RawHttpTestCase):
+    settings = {"stop_timeout_s": 1.0}
+
+    @run_on_class_loop
+    async def test_repeat_of_a_running_call_is_not_reported_as_not_run(self):
+        """Guards against "not run" for a key whose first call is at an upstream."""
+
+        async def script(request, reader, writer):
+            await asyncio.sleep(10.0)
+
+        self.upstream.script = script
+        lines = ("Idempotency-Key: k1", "Content-Length: 1")
+        first = asyncio.ensure_future(self.call("POST /raw", *lines, body=b"a"))
+        await self.wait_until(lambda: self.upstream.requests)
+        second = asyncio.ensure_future(self.call("POST /raw", *lines, body=b"a"))
+        await asyncio.sleep(0.3)
+        self.gateway.send_signal(signal.SIGTERM)
+        answers = await asyncio.gather(first, second)
+        self.assertNotIn(b'"ran": "no"', answers[1])
+
+
 class StopWithKeptConnectionTest(RawHttpTestCase):
     settings = {"stop_timeout_s": 3.0}
 
