--- a/tests/functional/test_fleet_gateway.py
+++ b/tests/functional/test_fleet_gateway.py
@@ -240,8 +240,7 @@
 
     async def test_updates_reach_gateways_after_the_reader_died(self):
         """Guards against a gateway with old data after the reader has stopped."""
-        # All gateways have the same IP address here, so the store cannot reject only
-        # some of them. Instead, the gateway that reads the store is stopped.
+        # The gateway that reads the store.
         await self.fleet.gateways[0].stop()
         await self.fleet.configure(*ROUTES, route("new", "/new/"))
         await asyncio.sleep(3.0)
