--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 
 from dogwoodshed._internal.configuration.model import (
@@ -13,8 +14,10 @@
     Route,
     Service,
 )
+from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.model import DirectoryRevision, UpstreamEntry
 from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
+from dogwoodshed._internal.directory.view import DirectoryView
 from dogwoodshed._internal.mesh.fleet_messages import (
     Member,
 )
@@ -126,6 +129,34 @@
     return built._replace(**changes)
 
 
+class IdleFollower:
+    """Follower of a directory that reads nothing."""
+
+    failing = False
+    age = 0.0
+
+    def record_peer_progress(self, revision: DirectoryRevision, age: float) -> None:
+        """Ignore the progress of a peer."""
+
+
+def directory_view(
+    clock: FakeClock, load: Callable[..., Any] = lambda *_: None
+) -> DirectoryView:
+    """Build an empty view; `load` gets the texts of configurations."""
+    metrics = CountingMetrics()
+    view = DirectoryView(
+        ConfigurationStore(metrics, load),
+        lambda _: None,
+        lambda: None,
+        read_version,
+        clock,
+        metrics,
+        entry_interval=ENTRY_INTERVAL_S,
+    )
+    view.attach(IdleFollower())
+    return view
+
+
 class CountingMetrics:
     """Metrics that count in memory."""
 
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -2,30 +2,19 @@
 
 import unittest
 
-from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.model import DirectoryChanges
-from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S, DirectoryView
+from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S
 from dogwoodshed._internal.mesh.fleet_messages import (
     GatewayUpdate,
 )
 from tests.lib.fleet_builders import (
-    ENTRY_INTERVAL_S,
-    CountingMetrics,
     FakeClock,
+    directory_view,
     entry,
-    read_version,
     revision,
 )
 
 
-class _Follower:
-    failing = False
-    age = 0.0
-
-    def record_peer_progress(self, revision, age):
-        pass
-
-
 class DirectoryViewTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = FakeClock()
@@ -33,19 +22,7 @@
         self.other = self.view()
 
     def view(self):
-        metrics = CountingMetrics()
-        store = ConfigurationStore(metrics, lambda *_: None)
-        view = DirectoryView(
-            store,
-            lambda _: None,
-            lambda: None,
-            read_version,
-            self.clock,
-            metrics,
-            entry_interval=ENTRY_INTERVAL_S,
-        )
-        view.attach(_Follower())
-        return view
+        return directory_view(self.clock)
 
     def read_entry(self, number):
         """Let the reader read one more entry; return its update."""
--- a/tests/unit/test_restored_directory.py
+++ b/tests/unit/test_restored_directory.py
@@ -3,14 +3,13 @@
 import itertools
 import unittest
 
-from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.model import ConfigurationText, DirectoryChanges
 from dogwoodshed._internal.directory.table import (
     ABSENCE_GRACE_S,
     RESTORED_ENTRY_INTERVALS,
     RETURN_GRACE_S,
 )
-from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S, DirectoryView
+from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S
 from dogwoodshed._internal.mesh.codec import Decoder, encode
 from dogwoodshed._internal.mesh.fleet_messages import (
     DirectoryEntry,
@@ -19,10 +18,9 @@
 )
 from tests.lib.fleet_builders import (
     ENTRY_INTERVAL_S,
-    CountingMetrics,
     FakeClock,
+    directory_view,
     entry,
-    read_version,
     revision,
     table,
 )
@@ -229,14 +227,6 @@
         self.assertIn("i-1", self.usable(2.2))
 
 
-class _Follower:
-    failing = False
-    age = 0.0
-
-    def record_peer_progress(self, revision, age):
-        """Ignore the progress of a peer."""
-
-
 class RestoredViewTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = FakeClock()
@@ -245,19 +235,7 @@
         self.other = self.view()
 
     def view(self):
-        metrics = CountingMetrics()
-        store = ConfigurationStore(metrics, lambda text, *_: self.loaded.append(text))
-        view = DirectoryView(
-            store,
-            lambda _: None,
-            lambda: None,
-            read_version,
-            self.clock,
-            metrics,
-            entry_interval=ENTRY_INTERVAL_S,
-        )
-        view.attach(_Follower())
-        return view
+        return directory_view(self.clock, lambda text, *_: self.loaded.append(text))
 
     def read(self, number, *entries, era=0, version=0, complete=False):
         """Let the reader apply changes; return its update as a peer decodes it."""
