--- a/src/dogwoodshed/_internal/proxy/planned_stop.py
+++ b/src/dogwoodshed/_internal/proxy/planned_stop.py
@@ -14,8 +14,8 @@
 # Requests at which an upstream is at work get this long after those that still wait
 # were rejected.
 LAST_ANSWERS_S = 0.6
-# A request is accepted during a stop if this many mean service times are left. Nine in
-# ten end within 1.8.
+# A request is accepted during a stop if this many mean service times are left, since
+# many requests take longer than the mean.
 RESERVE_SERVICE_TIMES = 2.0
 
 
@@ -39,8 +39,18 @@
         self._starts_until = float("inf")
         self._ends_at = float("inf")
 
+    @property
+    def time_left(self) -> float | None:
+        """The seconds until the last requests are ended, None without a bound."""
+        if self._ends_at == float("inf"):
+            return None
+        return max(0.0, self._ends_at - self._clock.monotonic())
+
     def begin(self, timeout: float | None) -> None:
-        """Bound the stop: no request is passed on after `timeout` seconds."""
+        """Pass no request on after `timeout` seconds; None is no limit.
+
+        Those at an upstream get LAST_ANSWERS_S more.
+        """
         if timeout is not None:
             self._starts_until = self._clock.monotonic() + timeout
             self._ends_at = self._starts_until + LAST_ANSWERS_S
@@ -49,13 +59,6 @@
         """Accept only requests that certainly end in time from now on."""
         self._accepting = False
 
-    @property
-    def time_left(self) -> float | None:
-        """The seconds until the last requests are ended, None without a bound."""
-        if self._ends_at == float("inf"):
-            return None
-        return max(0.0, self._ends_at - self._clock.monotonic())
-
     def add(self, task: asyncio.Task[object]) -> None:
         """Register the task of a request."""
         self._calls[task] = None
@@ -66,7 +69,7 @@
         self._cancelled.discard(task)
 
     def admit(self, task: asyncio.Task[object], call: Call) -> None:
-        """Accept a call that was read whole; raises ShuttingDownError."""
+        """Accept a call before it is passed on; raises ShuttingDownError."""
         self._calls[task] = call
         if self._ends_at == float("inf"):
             return
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -139,6 +139,13 @@
     def _closing(self) -> bool:
         return self._stopping or not self._accepting
 
+    @property
+    def _has_requests(self) -> bool:
+        """Return whether requests are in flight or have been read behind these."""
+        return bool(self._in_flight) or any(
+            connection.has_next_request for connection in self._server.connections
+        )
+
     async def listen(
         self, ip: str, port: int, listener: socket.socket | None = None
     ) -> None:
@@ -215,13 +222,6 @@
         while self._has_requests and self._loop.time() < ends_at:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
 
-    @property
-    def _has_requests(self) -> bool:
-        """Return whether requests are in flight or have been read behind these."""
-        return bool(self._in_flight) or any(
-            connection.has_next_request for connection in self._server.connections
-        )
-
     async def _wait_for_connections(self) -> None:
         ends_at = self._loop.time() + IDLE_CONNECTION_GRACE_S
         while self._server.connections and self._loop.time() < ends_at:
