--- /dev/null
+++ b/review/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the review scripts."""
