Finish the requests of a planned stop whatever fails beside them

Cause: on_stop ran its steps in one sequence without a guard. The announcement to the peers raised an error (an entry of another writer that cannot be encoded), and the steps after it, lingering and waiting for the requests, were skipped. Shown by the traceback in the log of the stopped gateway and by its exit code 0; a crash in a background task and a drain that takes the requests for finished are ruled out by these.

Change: both kinds of gateway run the steps with run_stop_steps, which logs and counts an error and goes on with the next step.

--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -6,7 +6,7 @@
 from absl import logging
 from mode import Service
 
-from dogwoodshed._internal.background import log_unexpected_errors
+from dogwoodshed._internal.background import log_unexpected_errors, run_stop_steps
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.directory.follower import DirectoryFollower
@@ -300,12 +300,15 @@
         self._server.begin_stop(
             None if drain_timeout is None else linger + drain_timeout
         )
-        await self._overlay.announce_leaving()
-        await self._server.linger(linger)
-        await self._server.stop_accepting()
-        await self._server.drain()
-        await self._pools.close()
-        self._metrics.flush()
+        await run_stop_steps(
+            self._metrics,
+            self._overlay.announce_leaving,
+            lambda: self._server.linger(linger),
+            self._server.stop_accepting,
+            self._server.drain,
+            self._pools.close,
+            self._metrics.flush,
+        )
         logging.info("gateway stopped")
 
     @Service.task
--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -11,6 +11,7 @@
     AdministrationCallbacks,
 )
 from dogwoodshed._internal.administration.status import StatusSources
+from dogwoodshed._internal.background import run_stop_steps
 from dogwoodshed._internal.catch_up import GuardedRouter
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.config_service import rate_limiter
@@ -288,15 +289,18 @@
     async def on_stop(self) -> None:
         """Finish all requests in flight, then stop."""
         self._state = STATE_LEAVING
-        self._idempotency.stop_voting()
         self._server.begin_stop(self._settings.drain_timeout_s)
-        await self._mesh.announce_leaving()
-        await self._server.stop_accepting()
-        await self._server.drain()
-        await self._idempotency.hand_over_records()
-        await self._summaries.hand_over_open_minute()
-        await self._pools.close()
-        self._metrics.flush()
+        await run_stop_steps(
+            self._metrics,
+            self._idempotency.stop_voting,
+            self._mesh.announce_leaving,
+            self._server.stop_accepting,
+            self._server.drain,
+            self._idempotency.hand_over_records,
+            self._summaries.hand_over_open_minute,
+            self._pools.close,
+            self._metrics.flush,
+        )
         logging.info("gateway %s stopped", self._settings.id)
 
     @Service.timer(METRICS_FLUSH_INTERVAL_S)
--- /dev/null
+++ b/tests/functional/test_foreign_entries.py
@@ -0,0 +1,74 @@
+"""Test entries of other writers among those of the targets."""
+
+import asyncio
+import signal
+import unittest
+
+from tests.lib.deployment import Deployment, route
+from tests.lib.fleet_builders import target_value
+
+TIMEOUT_S = 60.0
+GATEWAYS = 6
+# Time that a request spends at its target, and that it is there before SIGTERM.
+SERVICE_TIME_S = 1.3
+REQUESTS = 6
+BEFORE_ENTRY_S = 0.15
+# The entry is still queued for some of the peers.
+BEFORE_STOP_S = 0.05
+# The service name ends in half of a surrogate pair, which UTF-8 cannot encode.
+UNENCODABLE = target_value(service="ballroom-\ud83d", address="127.0.0.1:9")
+ROUTES = (
+    route("read", "/read/"),
+    route("write", "/write/", route_type="unsafe", timeout_ms=2500, slo_ms=2000),
+)
+
+
+class ForeignEntriesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.fleet = Deployment(GATEWAYS, zones=3)
+        self.fleet.stop_grace_s = 6.0
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await self.fleet.start(3, ROUTES, slots=8)
+        except BaseException:
+            await self.fleet.stop()
+            raise
+
+    async def asyncTearDown(self):
+        await self.fleet.stop()
+
+    def reader(self):
+        """Return the index of a gateway whose watch waits at the store."""
+        waiting = self.fleet.store.waiting_addresses
+        return next(
+            index
+            for index, gateway in enumerate(self.fleet.gateways)
+            if gateway.store_address in waiting
+        )
+
+    async def test_stop_just_after_an_entry_that_cannot_be_encoded(self):
+        """Guards against a planned stop that an error ends before its requests."""
+        for target in self.fleet.targets.values():
+            target.service_time_s = SERVICE_TIME_S
+        await asyncio.sleep(1.0)
+        index = self.reader()
+        requests = [
+            asyncio.create_task(
+                self.fleet.call(
+                    "/write/a",
+                    method="POST",
+                    request_id=f"w{number}",
+                    gateway=index,
+                    deadline_ms=2500,
+                )
+            )
+            for number in range(REQUESTS)
+        ]
+        await asyncio.sleep(BEFORE_ENTRY_S)
+        await self.fleet.store.put("servers/i-foreign", UNENCODABLE)
+        await asyncio.sleep(BEFORE_STOP_S)
+        self.fleet.gateways[index].send_signal(signal.SIGTERM)
+        async with asyncio.timeout(TIMEOUT_S):
+            responses = await asyncio.gather(*requests, return_exceptions=True)
+        outcomes = [getattr(response, "status", response) for response in responses]
+        self.assertEqual(outcomes, [200] * REQUESTS)
