Check the entries of a directory before they are kept or sent on

Requests on an added route got 404 from some gateways up to 3 s after the ack of the configuration (2 s are allowed) while another writer renewed one entry whose service name ends in half of a surrogate pair.

Cause: the adapter accepted any text and integers of any size. Ruled out: readers that stop reading, and gateways that reject the configuration; the readers served each route within 0.15 s.

Change: directory/validation.py replaces entries with texts that cannot be encoded or are long, integers over 64 bits or an address that cannot be one by removals, and drops those whose id cannot be sent in a header field. Revisions, eras and versions over 64 bits are rejected where they are decoded. A removal that is repeated is no change: it is neither logged nor announced again.

--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -164,7 +164,8 @@
             merged = self._with_leaving(entry, row, now)
             row.entry = merged
             self._update_row(row, merged, known, now)
-            return merged
+            # Another writer may renew an entry that names no upstream again and again.
+            return None if _is_same_removal(known, merged) else merged
         if entry.revision <= row.earlier_revision:
             return None
         merged = _add_leaving(known, entry, has_left=_is_leaving(entry))
@@ -255,6 +256,16 @@
             del self._removed_ids[earliest], self._rows[earliest]
 
 
+def _is_same_removal(known: UpstreamEntry, later: UpstreamEntry) -> bool:
+    """Return whether a later entry only says once more that an upstream is gone."""
+    return (
+        not (known.listed or later.listed)
+        and later.revision.era == known.revision.era
+        and later.started_ms == known.started_ms
+        and later.left_before_restore == known.left_before_restore
+    )
+
+
 def _is_leaving(entry: UpstreamEntry) -> bool:
     return entry.draining or not entry.listed
 
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -18,6 +18,7 @@
     UpstreamEntry,
 )
 from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
+from dogwoodshed._internal.directory.validation import without_invalid_entries
 from dogwoodshed._internal.exceptions import ConfigurationError
 from dogwoodshed._internal.mesh.fleet_messages import (
     DirectoryEntry,
@@ -115,6 +116,7 @@
 
     def apply_changes(self, changes: DirectoryChanges) -> None:
         """Apply changes that this gateway read itself."""
+        changes = without_invalid_entries(changes)
         now = self._clock.monotonic()
         if changes.complete:
             self._listing_unannounced |= self._is_restored(changes.revision)
--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -1,20 +1,31 @@
 """Test entries of other writers among those of the targets."""
 
 import asyncio
+import itertools
 import signal
+import time
 import unittest
 
 from tests.lib.deployment import Deployment, route
 from tests.lib.fleet_builders import target_value
 
 TIMEOUT_S = 60.0
-GATEWAYS = 6
+GATEWAYS = 9
 # Time that a request spends at its target, and that it is there before SIGTERM.
 SERVICE_TIME_S = 1.3
 REQUESTS = 6
 BEFORE_ENTRY_S = 0.15
 # The entry is still queued for some of the peers.
 BEFORE_STOP_S = 0.05
+# Writers renew their entries as targets do; a field beside the sequence changes.
+HEARTBEAT_S = 1.5
+FOREIGN_ENTRIES = 5
+CHANGES = 3
+# The users require that a configuration is in effect within this time after the store
+# has returned it.
+CONFIGURATION_BOUND_S = 2.0
+ASK_INTERVAL_S = 0.1
+BETWEEN_CHANGES_S = 2.5
 # The service name ends in half of a surrogate pair, which UTF-8 cannot encode.
 UNENCODABLE = target_value(service="ballroom-\ud83d", address="127.0.0.1:9")
 ROUTES = (
@@ -72,3 +83,45 @@
             responses = await asyncio.gather(*requests, return_exceptions=True)
         outcomes = [getattr(response, "status", response) for response in responses]
         self.assertEqual(outcomes, [200] * REQUESTS)
+
+    async def renew(self, entry):
+        """Write copies of an entry in turn, each once in a heartbeat."""
+        for sequence in itertools.count(1):
+            renewed = {**entry, "sequence": sequence, "cold_left_ms": 90_000 - sequence}
+            key = f"servers/i-foreign-{sequence % FOREIGN_ENTRIES}"
+            await self.fleet.store.put(key, renewed)
+            await asyncio.sleep(HEARTBEAT_S / FOREIGN_ENTRIES)
+
+    async def served_after(self, gateway, path):
+        """Return after how many seconds a gateway serves a route, up to the bound."""
+        started_at = time.monotonic()
+        while True:
+            elapsed = time.monotonic() - started_at
+            response = await self.fleet.call(path, gateway=gateway)
+            if response.status == 200 or elapsed > CONFIGURATION_BOUND_S:
+                return elapsed
+            await asyncio.sleep(ASK_INTERVAL_S)
+
+    async def test_added_route_beside_an_entry_that_cannot_be_encoded(self):
+        """Guards against an entry that keeps configurations from other gateways."""
+        writer = asyncio.create_task(self.renew(UNENCODABLE))
+        try:
+            await asyncio.sleep(3.5)
+            routes = list(ROUTES)
+            for number in range(CHANGES):
+                routes.append(route(f"new{number}", f"/new{number}/"))
+                await self.fleet.configure(*routes)
+                async with asyncio.timeout(TIMEOUT_S):
+                    elapsed = await asyncio.gather(
+                        *(
+                            self.served_after(index, f"/new{number}/a")
+                            for index in range(GATEWAYS)
+                        )
+                    )
+                with self.subTest(change=number):
+                    self.assertLess(max(elapsed), CONFIGURATION_BOUND_S, elapsed)
+                await asyncio.sleep(BETWEEN_CHANGES_S)
+        finally:
+            writer.cancel()
+        errors = [gateway.log.count("Error: ") for gateway in self.fleet.gateways]
+        self.assertEqual(errors, [0] * GATEWAYS)
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -140,13 +140,15 @@
 
 
 def directory_view(
-    clock: FakeClock, load: Callable[..., Any] = lambda *_: None
+    clock: FakeClock,
+    load: Callable[..., Any] = lambda *_: None,
+    on_upstreams: Callable[[list[UsableUpstream]], None] = lambda _: None,
 ) -> DirectoryView:
     """Build an empty view; `load` gets the texts of configurations."""
     metrics = CountingMetrics()
     view = DirectoryView(
         ConfigurationStore(metrics, load),
-        lambda _: None,
+        on_upstreams,
         lambda: None,
         read_version,
         clock,
--- a/tests/unit/test_adapter_decode.py
+++ b/tests/unit/test_adapter_decode.py
@@ -43,6 +43,20 @@
         self.assertTrue(decoded.listed and decoded.draining)
         self.assertEqual((decoded.started_ms, decoded.cold_ms), (5, 40))
 
+    def test_texts_that_cannot_be_parsed(self):
+        """Guards against an entry that ends the reading of all others."""
+        nested = b"[" * 100_000 + b"]" * 100_000
+        for text in (
+            nested,
+            b'{"slots":' + nested + b"}",
+            b'{"slots": 1' + b"0" * 5000 + b"}",
+            b"\xff\xfe{",
+            b"",
+        ):
+            with self.subTest(text=text[:20]):
+                item = builders.item("servers/a", text)
+                self.assertFalse(decode.decode_entry(item, 0).listed)
+
     def test_invalid_entries_are_not_listed(self):
         """Guards against invalid entries that break a gateway or attract calls."""
         for changes in (
@@ -52,6 +66,13 @@
             {"address": "nowhere"},
             {"service": 5},
             {"zone": None},
+            {"state": ["ready"]},
+            {"slots": 10**400},
+            {"slots": float("inf")},
+            {"slots": float("nan")},
+            {"address": "10.0.0.1:70000"},
+            {"address": "10.0.0.1:0"},
+            {"address": "300.0.0.1:80"},
         ):
             value = builders.target_value(**changes)
             with self.subTest(changes):
--- a/tests/unit/test_adapter_store.py
+++ b/tests/unit/test_adapter_store.py
@@ -57,7 +57,7 @@
         """Guards against a store without eras, or a malformed one, that ends reads."""
         self.assertEqual(adapter.store._read_era(_Headers()), 0)
         self.assertEqual(adapter.store._read_era(_Headers(Store_Era="12")), 12)
-        for text in ("", "-1", "1.5", "x", "¹"):
+        for text in ("", "-1", "1.5", "x", "¹", "9" * 30, "9" * 5000):
             with self.subTest(text=text), self.assertRaises(PlatformError):
                 adapter.store._read_era(_Headers(Store_Era=text))
 
@@ -71,3 +71,15 @@
         }
         changes = asyncio.run(_ScriptedStore((3, response)).load())
         self.assertEqual(changes.configuration.version, 12)
+
+    def test_numbers_beyond_64_bits(self):
+        """Guards against numbers that cannot be sent to the other gateways."""
+        with self.assertRaises(PlatformError):
+            asyncio.run(_ScriptedStore((3, page(2**63, "i-1"))).load())
+        response = page(7, "i-1")
+        response["items"].append(item("servers/i-2", target_value(), 2**63))
+        version = {"version": "8000000000000000"}
+        response["items"].append(item("op/config", version, 6))
+        changes = asyncio.run(_ScriptedStore((3, response)).load())
+        self.assertEqual([entry.id for entry in changes.entries], ["i-1"])
+        self.assertIsNone(changes.configuration)
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -32,6 +32,15 @@
         self.table.apply([entry("i-1", 4)], 0.1)
         self.assertEqual(self.usable(0.2), {})
 
+    def test_removal_that_is_repeated_is_no_change(self):
+        """Guards against a log line and an update for each write of another writer."""
+        self.table.apply([entry("i-1", 1)], 0.0)
+        self.assertEqual(len(self.table.apply([entry("i-1", 2, listed=False)], 1.0)), 1)
+        self.assertEqual(self.table.apply([entry("i-1", 7, listed=False)], 2.0), ())
+        self.table.apply([entry("i-1", 6)], 2.1)
+        self.assertEqual(self.usable(2.0 + DRAIN_BOUND_S), {})
+        self.assertEqual(len(self.table.apply([entry("i-1", 8)], 3.0)), 1)
+
     def test_upstream_with_removed_entry_is_unusable_in_time(self):
         """Guards against calls to an upstream that left without a drain."""
         self.table.apply([entry("i-1", 1)], 0.0)
