Keep an error for one peer or one message from the others

Cause: Overlay._flush sent to all peers, composed the own update and sent the loads in one sequence. An error for the first peer ended the loop, the batches of the others had been taken from their queues by turns, and loads were not sent.

Change: encode raises the typed UnencodableMessageError. An own update that cannot be encoded is rejected before it is queued, so that batches contain only what can be sent. Each part of a flush, and each peer in it, is guarded.

--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -89,6 +89,10 @@
     """Raised when a peer sends a message that cannot be decoded."""
 
 
+class UnencodableMessageError(MeshError):
+    """Raised when a message contains a value that cannot be sent to a peer."""
+
+
 class CallError(DogwoodshedError):
     """Base of errors that end a call, with the response to the caller.
 
--- a/src/dogwoodshed/_internal/mesh/codec.py
+++ b/src/dogwoodshed/_internal/mesh/codec.py
@@ -8,7 +8,7 @@
 import msgpack
 import msgspec
 
-from dogwoodshed._internal.exceptions import ProtocolError
+from dogwoodshed._internal.exceptions import ProtocolError, UnencodableMessageError
 from dogwoodshed._internal.mesh.message_codes import (
     CODES,
 )
@@ -32,7 +32,12 @@
 
 
 def encode(message: Any, request_id: int = 0) -> bytes:
-    return msgpack.packb([_CODE_OF[type(message)], request_id, *message])
+    """Encode a message; raises UnencodableMessageError."""
+    try:
+        return msgpack.packb([_CODE_OF[type(message)], request_id, *message])
+    except (UnicodeEncodeError, OverflowError) as error:
+        name = type(message).__name__
+        raise UnencodableMessageError(f"{name} cannot be encoded: {error}") from error
 
 
 class Decoder:
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -358,10 +358,14 @@
         self._flushed_at = self._clock.monotonic()
         if self._delegate is None:
             return
-        fields = self._delegate.compose_update()
-        if fields is not None:
-            self._update_flood.queue_own_update(fields)
+        # An error in one part, or for one peer, does not affect the others.
+        with log_unexpected_errors("overlay", self._metrics):
+            fields = self._delegate.compose_update()
+            if fields is not None:
+                self._update_flood.queue_own_update(fields)
         for peer_id, batch in self._update_flood.take_batches():
-            self._connections[peer_id].send(batch)
-        if self._load_exchange.flush(self._connections):
-            self._schedule_flush()
+            with log_unexpected_errors("overlay", self._metrics):
+                self._connections[peer_id].send(batch)
+        with log_unexpected_errors("overlay", self._metrics):
+            if self._load_exchange.flush(self._connections):
+                self._schedule_flush()
--- a/src/dogwoodshed/_internal/mesh/update_flood.py
+++ b/src/dogwoodshed/_internal/mesh/update_flood.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from dogwoodshed._internal.mesh.codec import encode
 from dogwoodshed._internal.mesh.fleet_messages import (
     GatewayUpdate,
     UpdateBatch,
@@ -44,11 +45,13 @@
         self._pending.pop(peer_id, None)
 
     def queue_own_update(self, fields: dict[str, Any]) -> None:
-        """Queue an own update for every peer."""
-        self._sequence += 1
+        """Queue an own update for every peer; raises UnencodableMessageError."""
         update = GatewayUpdate(
-            self._own.peer_id, self._own.incarnation, self._sequence, **fields
+            self._own.peer_id, self._own.incarnation, self._sequence + 1, **fields
         )
+        # A batch with an update that cannot be encoded loses the others as well.
+        encode(UpdateBatch((update,)))
+        self._sequence += 1
         for peer_id, pending in self._pending.items():
             if not self._is_remote(peer_id) or self._is_remote_hub(peer_id):
                 pending.append(update)
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -161,6 +161,35 @@
         self.set_calls("g5", 0)
         await self.wait_until(lambda: self.every_gateway_counts(15))
 
+    async def test_update_that_cannot_be_encoded(self):
+        """Guards against one update that keeps all later ones from the other peers."""
+        await self.wait_until_joined()
+        changes = []
+        for name, overlay in self.overlays.items():
+            overlay.roster.subscribe(lambda name=name: changes.append(name))
+        for text in ("half \ud83d", "text 2"):
+            self.delegates["g0"].pending_update = {"configuration": text}
+            self.overlays["g0"]._flush()
+        others = [d for name, d in self.delegates.items() if name != "g0"]
+        await self.wait_until(
+            lambda: all(other.updates == [("g0", "text 2")] for other in others)
+        )
+        self.assertEqual(changes, [])
+
+    async def test_leaving_after_an_update_that_cannot_be_encoded(self):
+        """Guards against peers that are not told of a planned stop."""
+        await self.wait_until_joined()
+        self.delegates["g0"].pending_update = {"configuration": "half \ud83d"}
+        self.overlays["g0"].publish()
+        await self.overlays["g0"].announce_leaving()
+        self.assertNotIn("g0", [m.id for m in self.overlays["g0"].roster.live])
+        async with asyncio.timeout(DEAD_AFTER_S / 2):
+            while any(
+                "g0" in [m.id for m in overlay.roster.live]
+                for overlay in self.overlays.values()
+            ):
+                await asyncio.sleep(0.02)
+
     async def test_idle_fleet_keeps_its_members(self):
         """Guards against gateways that count as dead while nothing changes.
 
