Test odd entries beside those of the targets

Another operator reports machines that end, or stop following the list of targets, because of one odd entry: deeply nested, with a number too large, or with a port out of range. The test writes 18 such values each 1.5 s and asks nine gateways for an added route, an added target, their processes and logs.

--- a/tests/functional/test_foreign_entries.py
+++ b/tests/functional/test_foreign_entries.py
@@ -28,6 +28,28 @@
 BETWEEN_CHANGES_S = 2.5
 # The service name ends in half of a surrogate pair, which UTF-8 cannot encode.
 UNENCODABLE = target_value(service="ballroom-\ud83d", address="127.0.0.1:9")
+NESTED = b"[" * 50_000 + b"]" * 50_000
+ODD_ENTRIES = (
+    UNENCODABLE,
+    target_value(address="127.0.0.1:70000"),
+    target_value(address="127.0.0.1:0"),
+    target_value(address="300.0.0.1:80"),
+    target_value(address="127.0.0.1:\u0668\u0660"),
+    target_value(address="127.0.0.1:9\n"),
+    target_value(slots=10**30),
+    target_value(slots=0),
+    target_value(cold_left_ms=10**30, born=10**30, address="127.0.0.1:0"),
+    target_value(service=["profiles"], zone={}),
+    target_value(state=["ready"]),
+    target_value(zone="z" * 100_000, address="127.0.0.1:0"),
+    NESTED,
+    b'{"service": ' + NESTED + b"}",
+    b'{"slots": 1' + b"0" * 5000 + b"}",
+    b"\xff\xfe",
+    b"",
+    b"null",
+)
+MAX_LOG_BYTES = 100_000
 ROUTES = (
     route("read", "/read/"),
     route("write", "/write/", route_type="unsafe", timeout_ms=2500, slo_ms=2000),
@@ -125,3 +147,38 @@
             writer.cancel()
         errors = [gateway.log.count("Error: ") for gateway in self.fleet.gateways]
         self.assertEqual(errors, [0] * GATEWAYS)
+
+    async def write_odd_entries(self):
+        """Write all odd entries at each heartbeat."""
+        for sequence in itertools.count(1):
+            for number, value in enumerate(ODD_ENTRIES):
+                if isinstance(value, dict):
+                    value = {**value, "sequence": sequence, "version": f"v{sequence}"}
+                await self.fleet.store.put(f"servers/i-odd-{number}", value)
+            await self.fleet.store.put("servers/i-odd-\ud83d \r\n", target_value())
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def test_odd_entries(self):
+        """Guards against entries that end gateways, or end their reading of others."""
+        log_sizes = [len(gateway.log) for gateway in self.fleet.gateways]
+        writer = asyncio.create_task(self.write_odd_entries())
+        try:
+            await asyncio.sleep(3.5)
+            await self.fleet.add_target("i-new")
+            new_route = route("new", "/new/")
+            await self.fleet.configure(*ROUTES, new_route)
+            async with asyncio.timeout(TIMEOUT_S):
+                elapsed = await asyncio.gather(
+                    *(self.served_after(g, "/new/a") for g in range(GATEWAYS))
+                )
+                self.assertLess(max(elapsed), CONFIGURATION_BOUND_S, elapsed)
+                while not self.fleet.targets["i-new"].runs:
+                    await self.fleet.call(request_id="n")
+            # Two more rounds of writes.
+            await asyncio.sleep(2 * HEARTBEAT_S)
+        finally:
+            writer.cancel()
+        for gateway, size in zip(self.fleet.gateways, log_sizes, strict=True):
+            self.assertIsNone(gateway.process.returncode)
+            self.assertNotIn("Traceback", gateway.log)
+            self.assertLess(len(gateway.log) - size, MAX_LOG_BYTES)
