Count the grace of a removed upstream from its removal, and read when hubs are silent

Gateways that were undisturbed sent requests to an upstream up to 2.2 s after the store had acknowledged that it is gone (2 s are allowed), while the hub of their data centre stood still; what the upstream had when it exited ended with 502.

Cause: the bound was split into timeouts that follow each other. A gateway learned of the removal after 1.0 s of silence and more, and then began a grace of 1.2 s of its own. Its log has one line for the removal 1.0 to 1.3 s after the freeze, and the last arrival 1.2 s later. Ruled out: requests that wait (calls end within 0.4 s) and an entry that the next hub returns (no such line).

Change: the grace counts from when the data was last known to be up to date, and the gateway that read a removal tells the others until when it uses the upstream (DirectoryEntry.usable_ms), so that the delay comes out of the grace. A gateway whose source of changes is silent for 0.5 s reads the directory itself, so that the delay has a bound whatever gateways are silent.

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -11,6 +11,7 @@
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.directory.model import (
     NO_REVISION,
+    PRIMARY_READERS,
     Directory,
     DirectoryChanges,
     DirectoryRevision,
@@ -18,10 +19,6 @@
 from dogwoodshed._internal.exceptions import HistoryLostError, PlatformError
 from dogwoodshed._internal.metrics import Metrics
 
-# Gateways of this reader rank and above are standbys, which read only when the others
-# provide no current data.
-# With two readers in two data centres, either can fail without delaying updates.
-PRIMARY_READERS = 2
 # A watch without a response times out after this wait and the margin of the directory
 # client, within the 2 s after which a draining upstream must get no new calls.
 WATCH_WAIT_S = 0.8
@@ -37,8 +34,12 @@
 BACKOFF_MAX_S = 0.5
 STANDBY_BACKOFF_MAX_S = 2.0
 POLL_INTERVAL_S = 0.05
+# A watch that waits is answered within this time after a change; one that is answered
+# sooner after it was sent may report a change from before that.
+PROMPT_RESPONSE_S = 0.1
 
-ChangesListener = Callable[[DirectoryChanges], None]
+# Takes changes and the monotonic time after which they happened.
+ChangesListener = Callable[[DirectoryChanges, float], None]
 
 
 class DirectoryFollower(Service):
@@ -57,6 +58,7 @@
         metrics: Metrics,
         *,
         first_read_after: float = 0.0,
+        is_source_silent: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__()
         self._directory = directory
@@ -70,6 +72,8 @@
         # A starting gateway usually gets all data from its peers before the first read.
         self._started_at = clock.monotonic()
         self._first_read_after = first_read_after
+        # Whether the gateways from which this one gets changes have become silent.
+        self._is_source_silent = is_source_silent
         self._current_at = self._started_at
         self._revision = NO_REVISION
         # The last revision whose history was lost.
@@ -116,6 +120,7 @@
     async def _read_once(self) -> None:
         """Read and apply changes; reset the count of failures if that succeeds."""
         revision = self._revision
+        sent_at = self._clock.monotonic()
         try:
             changes = await self._read()
         except HistoryLostError as error:
@@ -139,13 +144,20 @@
             self._on_failure()
             return
         self._set_reachable(True, None)
+        since = self._changed_since(sent_at, changes)
         self._current_at = self._clock.monotonic()
         self._revision = max(self._revision, changes.revision)
-        self._on_changes(changes)
+        self._on_changes(changes, since)
         self._failures = 0
         if changes.entries or changes.configuration:
             await self.sleep(COALESCE_DELAY_S)
 
+    def _changed_since(self, sent_at: float, changes: DirectoryChanges) -> float:
+        """Return the time after which the changes in a response happened."""
+        now = self._clock.monotonic()
+        waited = not changes.complete and now - sent_at >= PROMPT_RESPONSE_S
+        return now - PROMPT_RESPONSE_S if waited else self._current_at
+
     def _is_read_due(self) -> bool:
         reader_rank = self._reader_rank()
         if self._revision == NO_REVISION:
@@ -154,7 +166,7 @@
             if reader_rank >= PRIMARY_READERS:
                 delay += STANDBY_FIRST_READ_DELAY_S + reader_rank * STANDBY_STAGGER_S
             return self._clock.monotonic() >= self._started_at + delay
-        if reader_rank < PRIMARY_READERS:
+        if reader_rank < PRIMARY_READERS or self._is_source_silent():
             return True
         delay = min(
             MAX_STANDBY_DELAY_S, (reader_rank - PRIMARY_READERS) * STANDBY_STAGGER_S
--- a/src/dogwoodshed/_internal/directory/model.py
+++ b/src/dogwoodshed/_internal/directory/model.py
@@ -22,6 +22,10 @@
 UNKNOWN_ERA = -1
 # Older than every revision of a directory.
 NO_REVISION = DirectoryRevision()
+# Gateways of this reader rank and above are standbys, which read only when the others
+# provide no current data. With two readers in two data centres, either can fail without
+# delaying updates.
+PRIMARY_READERS = 2
 
 
 class UpstreamEntry(NamedTuple):
--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -1,6 +1,6 @@
 """Merge upstream entries from several sources."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from dogwoodshed._internal.directory.model import (
@@ -11,7 +11,8 @@
 
 # An upstream is used for this long after its entry was removed, since an entry may
 # expire during an outage of the directory and return. The users require that a removed
-# upstream gets no new calls after 2 s.
+# upstream gets no new calls after 2 s. It counts from the earliest time at which the
+# entry may have been removed: the time until a gateway learns of it comes out of it.
 ABSENCE_GRACE_S = 1.2
 # According to the users, expired entries return within about 2 s of the end of an
 # outage of the directory.
@@ -34,6 +35,19 @@
     cold_until: float
 
 
+class RemovalTimes(NamedTuple):
+    """Monotonic times that bound the use of removed upstreams."""
+
+    # Entries were removed after this; the data was known to be up to date then.
+    since: float
+    # Ends of the use of upstreams by id, as the gateway decided that read the removal.
+    absent_until: Mapping[str, float] = {}
+
+    def end_of_use(self, upstream_id: str) -> float:
+        """Return until when a removed upstream is used."""
+        return self.absent_until.get(upstream_id, self.since + ABSENCE_GRACE_S)
+
+
 class _Row:
     __slots__ = (
         "absent_since",
@@ -50,7 +64,7 @@
         self.last_listed = entry if entry.listed else None
         self.absent_since: float | None = None if entry.listed else now
         # Earliest end of the use of an absent upstream.
-        self.absent_until = now + ABSENCE_GRACE_S
+        self.absent_until = now
         self.cold_until = now + entry.cold_ms / 1000
         # When the first entry of its era was applied, and the last revision before it.
         self.era_since = now
@@ -81,10 +95,17 @@
         self._outage_grace_until = now + RETURN_GRACE_S
 
     def apply(
-        self, entries: Iterable[UpstreamEntry], now: float
+        self,
+        entries: Iterable[UpstreamEntry],
+        now: float,
+        removals: RemovalTimes | None = None,
     ) -> tuple[UpstreamEntry, ...]:
-        """Apply entries and return those that changed, as they are known now."""
-        merged = [self._merge(entry, now) for entry in entries]
+        """Apply entries and return those that changed, as they are known now.
+
+        Without `removals`, removed entries were removed just now.
+        """
+        removals = removals or RemovalTimes(now)
+        merged = [self._merge(entry, now, removals) for entry in entries]
         return tuple(entry for entry in merged if entry is not None)
 
     def apply_listing(
@@ -92,6 +113,7 @@
         entries: tuple[UpstreamEntry, ...],
         revision: DirectoryRevision,
         now: float,
+        removals: RemovalTimes | None = None,
     ) -> tuple[UpstreamEntry, ...]:
         """Apply a complete listing and return the entries that changed."""
         present = {entry.id for entry in entries}
@@ -103,7 +125,7 @@
             and entry.revision <= revision
             and (entry.listed or entry.revision.era < revision.era)
         ]
-        changed = self.apply([*entries, *removed], now)
+        changed = self.apply([*entries, *removed], now, removals)
         self._complete_revision = max(self._complete_revision, revision)
         return changed
 
@@ -120,6 +142,13 @@
             upstreams.append(UsableUpstream(entry, absent, row.cold_until))
         return upstreams
 
+    def usable_for(self, upstream_id: str, now: float) -> float | None:
+        """Return the seconds for which a removed upstream is used, None if listed."""
+        row = self._rows.get(upstream_id)
+        if row is None or row.absent_since is None:
+            return None
+        return max(0.0, self._absent_until(row) - now)
+
     def next_expiry(self, now: float) -> float | None:
         """Return when time alone next changes which upstreams are usable."""
         expiries = []
@@ -148,7 +177,9 @@
             return row.era_since + self._restore_hold
         return float("-inf")
 
-    def _merge(self, entry: UpstreamEntry, now: float) -> UpstreamEntry | None:
+    def _merge(
+        self, entry: UpstreamEntry, now: float, removals: RemovalTimes
+    ) -> UpstreamEntry | None:
         """Merge an entry and return the result, or None if nothing changed."""
         row = self._rows.get(entry.id)
         if row is None and entry.revision <= self._complete_revision:
@@ -163,7 +194,7 @@
         if entry.revision > known.revision:
             merged = self._with_leaving(entry, row, now)
             row.entry = merged
-            self._update_row(row, merged, known, now)
+            self._update_row(row, merged, known, now, removals)
             # Another writer may renew an entry that names no upstream again and again.
             return None if _is_same_removal(known, merged) else merged
         if entry.revision <= row.earlier_revision:
@@ -225,7 +256,12 @@
         return entry
 
     def _update_row(
-        self, row: _Row, entry: UpstreamEntry, previous: UpstreamEntry, now: float
+        self,
+        row: _Row,
+        entry: UpstreamEntry,
+        previous: UpstreamEntry,
+        now: float,
+        removals: RemovalTimes,
     ) -> None:
         """Update a row for an entry with a later revision than the previous one."""
         is_restored = entry.revision.era > previous.revision.era
@@ -240,7 +276,7 @@
                 row.cold_until = now + entry.cold_ms / 1000
         elif row.absent_since is None:
             row.absent_since = now
-            row.absent_until = now + ABSENCE_GRACE_S
+            row.absent_until = removals.end_of_use(entry.id)
             if is_restored:
                 # The copy may be older than the entry of a live upstream.
                 row.absent_until = now + RETURN_GRACE_S
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -17,7 +17,11 @@
     DirectoryRevision,
     UpstreamEntry,
 )
-from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
+from dogwoodshed._internal.directory.table import (
+    RemovalTimes,
+    UpstreamTable,
+    UsableUpstream,
+)
 from dogwoodshed._internal.directory.validation import without_invalid_entries
 from dogwoodshed._internal.exceptions import ConfigurationError
 from dogwoodshed._internal.mesh.fleet_messages import (
@@ -50,11 +54,14 @@
         metrics: Metrics,
         *,
         entry_interval: float,
+        peers_read: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._on_upstreams = on_upstreams
         self._publish = publish
         self._read_version = read_version
+        # Whether the peers that this gateway could tell of a change read it themselves.
+        self._peers_read = peers_read
         self._clock = clock
         self._metrics = metrics
         self._table = UpstreamTable(entry_interval)
@@ -114,17 +121,31 @@
         if self._store.current is None:
             await ready.wait()
 
-    def apply_changes(self, changes: DirectoryChanges) -> None:
-        """Apply changes that this gateway read itself."""
+    def apply_changes(
+        self, changes: DirectoryChanges, since: float | None = None
+    ) -> None:
+        """Apply changes that this gateway read itself, and that happened after `since`.
+
+        Without a monotonic time `since`, they have just happened.
+        """
         changes = without_invalid_entries(changes)
         now = self._clock.monotonic()
+        removals = RemovalTimes(now if since is None else since)
+        announce = not self._peers_read()
         if changes.complete:
-            self._listing_unannounced |= self._is_restored(changes.revision)
-            changed = self._table.apply_listing(changes.entries, changes.revision, now)
+            self._listing_unannounced |= announce and self._is_restored(
+                changes.revision
+            )
+            changed = self._table.apply_listing(
+                changes.entries, changes.revision, now, removals
+            )
+        else:
+            changed = self._table.apply(changes.entries, now, removals)
+        if announce:
+            self._announce_revision(changes.revision)
         else:
-            changed = self._table.apply(changes.entries, now)
-        self._announce_revision(changes.revision)
-        self._apply(changed, changes.configuration, "directory", announce=True)
+            self._advance_revision(changes.revision)
+        self._apply(changed, changes.configuration, "directory", announce=announce)
 
     def record_failure(self) -> None:
         """Record that a directory request of this gateway failed."""
@@ -136,10 +157,11 @@
         if revision.number:
             now = self._clock.monotonic()
             entries = tuple(map(self._from_wire, update.entries))
+            removals = self._removals_of_peer(update.entries, now)
             if update.complete:
-                changed = self._table.apply_listing(entries, revision, now)
+                changed = self._table.apply_listing(entries, revision, now, removals)
             else:
-                changed = self._table.apply(entries, now)
+                changed = self._table.apply(entries, now, removals)
             # If earlier updates are missing, this revision is not reached yet.
             since = self._with_known_era(update.starting_revision)
             if update.complete or since <= self._revision:
@@ -150,8 +172,9 @@
 
     def snapshot(self) -> DirectorySnapshot:
         """Return all directory data for a peer."""
+        entries = self._table.entries(self._clock.monotonic())
         return DirectorySnapshot(
-            tuple(map(_to_wire, self._table.entries(self._clock.monotonic()))),
+            tuple(map(self._to_wire, entries)),
             self._configuration_text.number,
             self._configuration_text.text,
             configuration_version=self._configuration_text.version,
@@ -166,7 +189,10 @@
         now = self._clock.monotonic()
         # An upstream that is not in the snapshot left before the peer was started.
         changed = self._table.apply_listing(
-            tuple(map(self._from_wire, snapshot.entries)), revision, now
+            tuple(map(self._from_wire, snapshot.entries)),
+            revision,
+            now,
+            self._removals_of_peer(snapshot.entries, now),
         )
         if announce:
             self._listing_unannounced |= self._is_restored(revision)
@@ -196,7 +222,7 @@
             # A gateway that missed the update with it would see no gap any more.
             self._text_unannounced = bool(self._configuration_text.text)
         if entries:
-            fields["entries"] = tuple(map(_to_wire, entries))
+            fields["entries"] = tuple(map(self._to_wire, entries))
         self._unannounced_entries = []
         self._listing_unannounced = False
         if self._text_unannounced:
@@ -242,6 +268,32 @@
             **{name: getattr(entry, name) for name in _SHARED_FIELDS},
         )
 
+    def _to_wire(self, entry: UpstreamEntry) -> DirectoryEntry:
+        usable_for = self._table.usable_for(entry.id, self._clock.monotonic())
+        return DirectoryEntry(
+            revision=entry.revision.number,
+            era=entry.revision.era,
+            usable_ms=-1 if usable_for is None else round(usable_for * 1000),
+            **{name: getattr(entry, name) for name in _SHARED_FIELDS},
+        )
+
+    def _removals_of_peer(
+        self, entries: tuple[DirectoryEntry, ...], now: float
+    ) -> RemovalTimes:
+        """Return until when removed upstreams in a message of a peer are used.
+
+        The data of this gateway did not contain the removals when it was last known to
+        be up to date.
+        """
+        return RemovalTimes(
+            now - self._follower.age,
+            {
+                entry.id: now + entry.usable_ms / 1000
+                for entry in entries
+                if entry.usable_ms >= 0
+            },
+        )
+
     def _received_configuration(
         self, message: GatewayUpdate | DirectorySnapshot
     ) -> ConfigurationText | None:
@@ -328,11 +380,3 @@
             self._expiry_timer = loop.call_later(
                 expiry - now + 0.001, self._apply_table
             )
-
-
-def _to_wire(entry: UpstreamEntry) -> DirectoryEntry:
-    return DirectoryEntry(
-        revision=entry.revision.number,
-        era=entry.revision.era,
-        **{name: getattr(entry, name) for name in _SHARED_FIELDS},
-    )
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -180,6 +180,7 @@
             self._clock,
             self._metrics,
             entry_interval=settings.platform.entry_interval_ms / 1000,
+            peers_read=self._peers_read,
         )
         self._follower = DirectoryFollower(
             directory,
@@ -190,6 +191,7 @@
             self._clock,
             self._metrics,
             first_read_after=FIRST_READ_AFTER_S,
+            is_source_silent=lambda: self._overlay.is_source_silent,
         )
         self._view.attach(self._follower)
         self._overlay.attach(_OverlayDelegate(self._view, self._router, placements))
@@ -228,6 +230,10 @@
             or not self._roster.has_live_gateway(data_centre)
         )
 
+    def _peers_read(self) -> bool:
+        """Return whether a silent hub makes its other gateways read the directory."""
+        return self._overlay.is_source_silent and not self._roster.is_hub
+
     def _apply_upstreams(self, upstreams: list[UsableUpstream]) -> None:
         self._router.apply_upstreams(upstreams)
         self._pools.keep_only({upstream.entry.address for upstream in upstreams})
--- a/src/dogwoodshed/_internal/mesh/fleet_messages.py
+++ b/src/dogwoodshed/_internal/mesh/fleet_messages.py
@@ -76,6 +76,8 @@
     left_before_restore: bool = False
     # Era of `revision`.
     era: int = UNKNOWN_ERA
+    # Milliseconds for which the sender still uses a removed upstream; -1 if unknown.
+    usable_ms: int = -1
 
 
 class GatewayUpdate(NamedTuple):
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -8,6 +8,7 @@
 
 from dogwoodshed._internal.background import log_unexpected_errors
 from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.directory.model import PRIMARY_READERS
 from dogwoodshed._internal.exceptions import MeshError
 from dogwoodshed._internal.membership import STATE_LEAVING
 from dogwoodshed._internal.mesh.connection import PeerConnection
@@ -40,6 +41,9 @@
 # Three missed keepalives; nothing else delays them this long in a data centre or on
 # loopback.
 SILENCE_TIMEOUT_S = 1.0
+# Without a message for this long, more than one keepalive is missing, and changes of
+# the directory may be missing as well.
+SOURCE_SILENCE_S = 0.5
 CONNECT_TIMEOUT_S = 0.3
 MAINTENANCE_INTERVAL_S = 0.1
 
@@ -75,6 +79,8 @@
         self._delegate: OverlayDelegate | None = None
         self._connections: dict[str, PeerConnection] = {}
         self._last_seen_at: dict[str, float] = {}
+        # Last message of a gateway from which changes of the directory arrive.
+        self._source_seen_at = clock.monotonic()
         self._dialling: set[str] = set()
         # The hub that each connected peer was told to use.
         self._advised_hubs: dict[str, Member] = {}
@@ -107,6 +113,28 @@
         connection = self._connections.get(hub)
         return hub if connection is not None and not connection.closing else None
 
+    @property
+    def is_source_silent(self) -> bool:
+        """Whether the gateways from which changes of the directory arrive are silent.
+
+        Changes reach a gateway through its hub, and a hub from the first readers of the
+        directory or their hubs.
+        """
+        sources = (self._roster.hub(self._hello.data_centre),)
+        if self._roster.is_hub:
+            readers = self._roster.readers[:PRIMARY_READERS]
+            sources = (
+                *readers,
+                *(self._roster.hub(reader.data_centre) for reader in readers),
+            )
+        seen_at = [
+            self._last_seen_at[source.id]
+            for source in sources
+            if source is not None and source.id in self._last_seen_at
+        ]
+        self._source_seen_at = max([self._source_seen_at, *seen_at])
+        return self._clock.monotonic() - self._source_seen_at > SOURCE_SILENCE_S
+
     def send_to(self, peer_id: str, message: Any) -> bool:
         """Send a message to a peer; return False without an open connection."""
         connection = self._connections.get(peer_id)
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -85,15 +85,21 @@
     @property
     def reader_rank(self) -> int:
         """The position of this gateway among the directory readers; 0 reads first."""
+        readers = self.readers
+        if self._own not in self._live_set:
+            return len(readers)
+        return readers.index(self._own)
+
+    @property
+    def readers(self) -> list[Member]:
+        """The live gateways in the order in which they read the directory."""
         hubs = self.hubs
         if self._reader_order is None or self._reader_order_hubs != hubs:
             readers = [*hubs, *(member for member in self._live if member not in hubs)]
             # Gateways whose last directory request failed come last, in the same order.
             readers.sort(key=lambda member: member.id in self._failing_readers)
             self._reader_order, self._reader_order_hubs = readers, hubs
-        if self._own not in self._live_set:
-            return len(self._reader_order)
-        return self._reader_order.index(self._own)
+        return self._reader_order
 
     @property
     def failing_readers(self) -> frozenset[str]:
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -143,6 +143,7 @@
     clock: FakeClock,
     load: Callable[..., Any] = lambda *_: None,
     on_upstreams: Callable[[list[UsableUpstream]], None] = lambda _: None,
+    **options: Any,
 ) -> DirectoryView:
     """Build an empty view; `load` gets the texts of configurations."""
     metrics = CountingMetrics()
@@ -154,6 +155,7 @@
         clock,
         metrics,
         entry_interval=ENTRY_INTERVAL_S,
+        **options,
     )
     view.attach(IdleFollower())
     return view
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -6,6 +6,7 @@
     ABSENCE_GRACE_S,
     MAX_REMOVED_ENTRIES,
     RETURN_GRACE_S,
+    RemovalTimes,
 )
 from tests.lib.fleet_builders import entry, revision, table
 
@@ -49,6 +50,27 @@
         self.assertEqual(self.usable(10.0 + DRAIN_BOUND_S), {})
         self.assertLess(self.table.next_expiry(10.0), 10.0 + DRAIN_BOUND_S)
 
+    def test_late_news_of_a_removal_shortens_its_grace(self):
+        """Guards against a bound that is the sum of the delay and the grace."""
+        self.table.apply([entry("i-1", 1), entry("i-2", 2)], 0.0)
+        removed = [entry("i-1", 3, listed=False)]
+        self.table.apply(removed, 10.8, RemovalTimes(since=10.0))
+        self.assertIn("i-1", self.usable(10.0 + ABSENCE_GRACE_S - 0.01))
+        self.assertNotIn("i-1", self.usable(10.0 + ABSENCE_GRACE_S))
+        removed = [entry("i-2", 4, listed=False)]
+        self.table.apply(removed, 20.0, RemovalTimes(since=20.0 - DRAIN_BOUND_S))
+        self.assertEqual(self.usable(20.0), {})
+
+    def test_end_of_use_that_another_gateway_decided(self):
+        """Guards against gateways that each begin a grace of their own."""
+        self.table.apply([entry("i-1", 1)], 0.0)
+        self.table.apply(
+            [entry("i-1", 2, listed=False)], 10.0, RemovalTimes(10.0, {"i-1": 10.3})
+        )
+        self.assertAlmostEqual(self.table.usable_for("i-1", 10.0), 0.3)
+        self.assertEqual(self.usable(10.3), {})
+        self.assertEqual(self.table.usable_for("i-1", 11.0), 0.0)
+
     def test_entries_that_expire_in_an_outage_stay_usable(self):
         """Guards against dropping live upstreams whose entries expired in an outage."""
         self.table.apply([entry("i-1", 1), entry("i-2", 2)], 0.0)
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -3,6 +3,7 @@
 import unittest
 
 from dogwoodshed._internal.directory.model import DirectoryChanges
+from dogwoodshed._internal.directory.table import ABSENCE_GRACE_S
 from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S
 from dogwoodshed._internal.mesh.fleet_messages import (
     GatewayUpdate,
@@ -24,6 +25,16 @@
     def view(self):
         return directory_view(self.clock)
 
+    def watched_view(self):
+        """Build a view; return it and a dictionary that has the usable upstreams."""
+        usable = {}
+
+        def record(upstreams):
+            usable.clear()
+            usable.update((upstream.entry.id, upstream) for upstream in upstreams)
+
+        return directory_view(self.clock, on_upstreams=record), usable
+
     def read_entry(self, number):
         """Let the reader read one more entry; return its update."""
         entries = (entry(f"i-{number}", number),)
@@ -59,6 +70,61 @@
         self.other.record_peer_progress(revision(1), 0)
         self.assertTrue(self.other.has_gap)
 
+    async def remove_entry_late(self, send):
+        """Read a removal 0.9 s after it; return the other gateway's view and usable.
+
+        `send` passes it on from the reader to the other gateway.
+        """
+        other, usable = self.watched_view()
+        other.apply_update(self.read_entry(1))
+        self.assertIn("i-1", usable)
+        self.clock.now += 5.0
+        removed = entry("i-1", 2, listed=False)
+        changes = DirectoryChanges(revision(2), (removed,))
+        self.reader.apply_changes(changes, self.clock.now - 0.9)
+        self.clock.now += 0.1
+        send(other)
+        return usable
+
+    async def test_update_has_the_rest_of_the_grace(self):
+        """Guards against a grace that begins anew at each gateway."""
+
+        def send(other):
+            update = GatewayUpdate("reader", 1, 2, **self.reader.compose_update())
+            (sent,) = update.entries
+            self.assertAlmostEqual(sent.usable_ms, (ABSENCE_GRACE_S - 1.0) * 1000, 0)
+            other.apply_update(update)
+
+        usable = await self.remove_entry_late(send)
+        self.assertTrue(usable["i-1"].absent)
+
+    async def test_update_after_the_end_of_the_grace(self):
+        """Guards against calls to an upstream that left long ago."""
+
+        def send(other):
+            self.clock.now += ABSENCE_GRACE_S
+            fields = self.reader.compose_update()
+            other.apply_update(GatewayUpdate("reader", 1, 2, **fields))
+
+        self.assertEqual(await self.remove_entry_late(send), {})
+
+    async def test_snapshot_after_the_end_of_the_grace(self):
+        """Guards against the same where the removal comes with a snapshot."""
+
+        def send(other):
+            self.clock.now += ABSENCE_GRACE_S
+            other.apply_snapshot(self.reader.snapshot(), announce=False)
+
+        self.assertEqual(await self.remove_entry_late(send), {})
+
+    async def test_changes_that_the_peers_read_are_not_announced(self):
+        """Guards against one update of each gateway while their hub is silent."""
+        view = directory_view(self.clock, peers_read=lambda: True)
+        entries = (entry("i-1", 1),)
+        view.apply_changes(DirectoryChanges(revision(1), entries))
+        self.assertIsNone(view.compose_update())
+        self.assertEqual(view.revision, revision(1))
+
     async def test_updates_of_others_are_not_announced_again(self):
         """Guards against changes that every gateway announces to every other."""
         self.other.apply_update(self.read_entry(1))
--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -1,6 +1,7 @@
 """Test which gateways read the directory, and when."""
 
 import asyncio
+import time
 import unittest
 
 from dogwoodshed._internal.clock import SystemClock
@@ -37,17 +38,19 @@
 
 
 class FollowerTest(unittest.IsolatedAsyncioTestCase):
-    async def run_follower(self, seconds, *, rank=0, before=None):
+    async def run_follower(self, seconds, *, rank=0, before=None, **options):
         self.directory = _Directory()
         self.failures = []
+        self.since = []
         follower = DirectoryFollower(
             self.directory,
             lambda: rank,
-            lambda changes: None,
+            lambda changes, since: self.since.append(since),
             lambda: self.failures.append(1),
             lambda: None,
             SystemClock(),
             CountingMetrics(),
+            **options,
         )
         if before is not None:
             before(follower)
@@ -82,6 +85,43 @@
         )
         self.assertEqual(self.directory.calls[0], "watch 7")
 
+    async def test_other_gateways_read_when_their_source_is_silent(self):
+        """Guards against changes that wait until the data of a silent hub is stale."""
+        await self.run_follower(
+            0.4,
+            rank=5,
+            before=lambda f: f.record_peer_progress(revision(7), 0.0),
+            is_source_silent=lambda: True,
+        )
+        self.assertEqual(self.directory.calls[0], "watch 7")
+
+    async def test_prompt_response_may_report_an_earlier_change(self):
+        """Guards against a removal that counts as new when a gateway learns of it."""
+        known_at = []
+
+        def wait_after_progress(follower):
+            follower.record_peer_progress(revision(7), 0.0)
+            known_at.append(SystemClock().monotonic())
+            time.sleep(0.3)
+
+        await self.run_follower(0.1, before=wait_after_progress)
+        self.assertLessEqual(self.since[0], known_at[0])
+
+    async def test_change_during_a_watch_is_new(self):
+        """Guards against a removal that counts as old because the watch has waited."""
+
+        async def watch(after, wait):
+            await asyncio.sleep(0.5)
+            return DirectoryChanges(after, ())
+
+        def wait_long(follower):
+            follower.record_peer_progress(revision(7), 0.0)
+            self.directory.watch = watch
+
+        started_at = SystemClock().monotonic()
+        await self.run_follower(0.7, before=wait_long)
+        self.assertGreater(self.since[0], started_at + 0.5 - module.PROMPT_RESPONSE_S)
+
     async def test_lost_history_causes_a_complete_read(self):
         """Guards against missing changes that are no longer in the history."""
 
--- a/tests/unit/test_malformed_messages.py
+++ b/tests/unit/test_malformed_messages.py
@@ -359,7 +359,7 @@
         follower = DirectoryFollower(
             directory,
             lambda: 0,
-            changes.append,
+            lambda read, since: changes.append(read),
             lambda: None,
             lambda: None,
             SystemClock(),
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -15,7 +15,7 @@
 from dogwoodshed._internal.mesh.messages import (
     Hello,
 )
-from dogwoodshed._internal.mesh.overlay import Overlay
+from dogwoodshed._internal.mesh.overlay import SOURCE_SILENCE_S, Overlay
 from dogwoodshed._internal.mesh.roster import DEAD_AFTER_S
 from dogwoodshed._internal.settings import Settings
 from tests.lib.fleet_builders import CountingMetrics, revision
@@ -190,6 +190,32 @@
             ):
                 await asyncio.sleep(0.02)
 
+    def freeze(self, name):
+        """Let a gateway send nothing more, on connections that stay open."""
+        overlay = self.overlays[name]
+        overlay._flush = overlay._maintain_once = lambda: None
+
+    def silent(self):
+        return {n for n, overlay in self.overlays.items() if overlay.is_source_silent}
+
+    async def test_source_of_an_idle_fleet_is_not_silent(self):
+        """Guards against directory requests of every gateway while nothing happens."""
+        await self.wait_until_joined()
+        await asyncio.sleep(SOURCE_SILENCE_S)
+        for _ in range(40):
+            self.assertEqual(self.silent(), set())
+            await asyncio.sleep(0.05)
+
+    async def test_silent_hub_is_a_silent_source(self):
+        """Guards against gateways that wait until a silent hub is replaced."""
+        await self.wait_until_joined()
+        await asyncio.sleep(SOURCE_SILENCE_S)
+        self.freeze("g0")
+        async with asyncio.timeout(SOURCE_SILENCE_S + 0.2):
+            await self.wait_until(lambda: self.silent() >= {"g2", "g4"})
+        # The hub of the other data centre reads the directory itself.
+        self.assertNotIn("g3", self.silent())
+
     async def test_idle_fleet_keeps_its_members(self):
         """Guards against gateways that count as dead while nothing changes.
 
