Choose the route of a request by the path that is sent on

Cause: the route was chosen by the decoded path, the encoded one was sent on. POST /orders/drafts%2F17 was taken for a request of the safe route /orders/drafts/ and repeated, and ran as an order of /orders/.

Change: Routes.resolve gets the encoded path. A request whose decoded and normalized path would belong to a non-idempotent route counts as non-idempotent too, since an upstream may read it in that way. Hosts are compared without port and case.

--- a/src/dogwoodshed/_internal/proxy/requests.py
+++ b/src/dogwoodshed/_internal/proxy/requests.py
@@ -51,9 +51,11 @@
     if routes.configuration is None:
         # Not 404, which would mean that the configuration has no such route.
         raise NoConfigurationError("starting")
-    destination = routes.resolve(request.host, request.method, request.path)
+    # As it is sent on: upstreams see the encoded path.
+    path = request.raw_path.partition("?")[0]
+    destination = routes.resolve(request.host, request.method, path)
     if destination is None:
-        raise NoRouteError(request.path)
+        raise NoRouteError(path)
     service, kind = destination
     time_limit = _numeric_header(request, names.timeout_ms, kind.deadline * 1000) / 1000
     rank = int(_numeric_header(request, names.rank, kind.rank.position))
--- a/src/dogwoodshed/_internal/proxy/routes.py
+++ b/src/dogwoodshed/_internal/proxy/routes.py
@@ -1,7 +1,10 @@
 """Find the service and the kind of a request."""
 
+import posixpath
 import random
+import re
 from typing import NamedTuple
+from urllib.parse import unquote
 
 from dogwoodshed._internal.configuration.model import (
     Configuration,
@@ -10,6 +13,10 @@
     Service,
 )
 
+# What an upstream may take for another path than the one that is written.
+_AMBIGUOUS = re.compile(r"%|//|/\.")
+_PORT = re.compile(r":[0-9]*$")
+
 
 class Destination(NamedTuple):
     """Service that a request is sent to and kind that it is treated as."""
@@ -50,7 +57,7 @@
             service.path_prefix: service for service in services if service.path_prefix
         }
         routes = configuration.routes if configuration else ()
-        self._routes = {(route.host, route.prefix): route for route in routes}
+        self._routes = {(route.host.lower(), route.prefix): route for route in routes}
         self._balancers: dict[tuple, _WeightedRoundRobin] = {}
         # Longest remaining time that callers of each kind have sent, in seconds.
         self._max_remaining_time: dict[str, float] = {}
@@ -93,7 +100,24 @@
         return maximum - remaining_time
 
     def resolve(self, host: str, method: str, path: str) -> Destination | None:
-        """Return the service and the kind of a request, or None if no route matches."""
+        """Return the service and the kind of a request, or None if no route matches.
+
+        The path is the encoded one. If its decoded and normalized form is that of a
+        non-idempotent kind, the request is not idempotent either, since an upstream may
+        read the path in that way.
+        """
+        host = _PORT.sub("", host).lower()
+        destination = self._resolve(host, method, path)
+        if destination is None or not destination.kind.idempotent:
+            return destination
+        if _AMBIGUOUS.search(path):
+            kind = self._find_kind(host, method, _normalize(path))
+            if kind is not None and not kind.idempotent:
+                kind = destination.kind._replace(idempotent=False)
+                return destination._replace(kind=kind)
+        return destination
+
+    def _resolve(self, host: str, method: str, path: str) -> Destination | None:
         if self._routes:
             route = self.find_route(host, path)
             if route is None:
@@ -103,6 +127,13 @@
         kind = service.find_kind(method, path) if service else None
         return Destination(service, kind) if kind is not None else None
 
+    def _find_kind(self, host: str, method: str, path: str) -> Kind | None:
+        if self._routes:
+            route = self.find_route(host, path)
+            return route.kind if route is not None else None
+        service = self.find_service(path)
+        return service.find_kind(method, path) if service else None
+
     def _choose_service(self, route: Route) -> Service:
         if len(route.backends) == 1:
             return route.backends[0].service
@@ -114,3 +145,12 @@
         if balancer is None:
             balancer = self._balancers[key] = _WeightedRoundRobin(route)
         return balancer.next_service(route)
+
+
+def _normalize(path: str) -> str:
+    """Return a decoded path without dot segments and empty segments."""
+    decoded = unquote(path)
+    normalized = posixpath.normpath("/" + decoded.lstrip("/"))
+    return (
+        normalized + "/" if decoded.endswith("/") and normalized != "/" else normalized
+    )
--- a/tests/functional/test_fleet_gateway.py
+++ b/tests/functional/test_fleet_gateway.py
@@ -72,6 +72,23 @@
         self.assertEqual(response.status, 502)
         self.assertEqual(self.fleet.count_runs("w1"), 1)
 
+    async def test_write_with_an_encoded_path_is_not_retried(self):
+        """Guards against an order that runs twice because of its decoded path.
+
+        The query and the path reach the target as they were sent.
+        """
+        await self.fleet.configure(*ROUTES, route("drafts", "/write/drafts/"))
+        await asyncio.sleep(0.5)
+        for number, path in enumerate(
+            ("/write/drafts%2F17", "/write/drafts/%2E%2E/17?to=/read/")
+        ):
+            for target in self.fleet.targets.values():
+                target.lose = 1
+            request_id = f"e{number}"
+            response = await self.fleet.call(path, method="POST", request_id=request_id)
+            self.assertEqual(response.status, 502)
+            self.assertEqual(self.fleet.count_runs(request_id), 1)
+
     async def test_read_with_a_lost_response_is_retried(self):
         """Guards against a read that fails although another target could serve it."""
         for target in self.fleet.targets.values():
