Count an outage of the directory only after 1.2 s without current data

Cause: each failed request counted as an outage in which entries of live upstreams expire, and extended the use of removed ones. A watch that is cut while it waits does not show an outage. aiohttp repeated it by itself, so that it seemed to fail after 1.2 s, as one that times out does.

Change: an outage is a time of 1.2 s or more since the data was known to be up to date, by own reads or by those of peers. After a failure, the next watch waits 0.05 s, which shows whether the directory responds.

--- a/src/dogwoodshed/_internal/directory/follower.py
+++ b/src/dogwoodshed/_internal/directory/follower.py
@@ -22,6 +22,8 @@
 # A watch without a response times out after this wait and the margin of the directory
 # client, within the 2 s after which a draining upstream must get no new calls.
 WATCH_WAIT_S = 0.8
+# After a failure, a watch that hardly waits shows whether the directory responds.
+CHECK_WAIT_S = 0.05
 # Changes come in bursts; after this delay one response contains several of them.
 COALESCE_DELAY_S = 0.25
 # Longer than the age that data reaches while a reader works.
@@ -176,7 +178,9 @@
     async def _read(self) -> DirectoryChanges:
         if self._revision == NO_REVISION:
             return await self._directory.load()
-        return await self._directory.watch(self._revision, WATCH_WAIT_S)
+        # This read counts as a failure until it has succeeded.
+        wait = WATCH_WAIT_S if self._failures <= 1 else CHECK_WAIT_S
+        return await self._directory.watch(self._revision, wait)
 
     def _backoff(self, failures: int) -> float:
         max_delay = BACKOFF_MAX_S
--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -17,6 +17,10 @@
 # According to the users, expired entries return within about 2 s of the end of an
 # outage of the directory.
 RETURN_GRACE_S = 2.2
+# A directory that did not respond for a shorter time was not away: a watch that is cut
+# and the next read take up to 1 s, one that times out takes longer. Entries expire
+# after some seconds without a write.
+MIN_OUTAGE_S = 1.2
 # Upstreams write their entries again after a restore, and an entry that is not written
 # for three intervals is removed. After one more interval, an upstream that is still
 # listed is available, whatever was known of it before the restore.
@@ -81,6 +85,9 @@
         self._removed_ids: dict[str, None] = {}
         self._outage_since = float("-inf")
         self._outage_grace_until = float("-inf")
+        # Since the first of the failures after the last response: when the data was
+        # last known to be up to date.
+        self._failing_since: float | None = None
         # Up to this revision, an upstream without a row has been removed.
         self._complete_revision = NO_REVISION
 
@@ -88,8 +95,29 @@
         """Return the latest entry of each upstream."""
         return tuple(self._current_entry(row, now) for row in self._rows.values())
 
-    def record_directory_failure(self, now: float) -> None:
-        """Record a failed directory request, after which entries may expire."""
+    def record_directory_failure(
+        self, now: float, current_at: float = float("-inf")
+    ) -> None:
+        """Record a failed directory request, after which entries may have expired.
+
+        The directory was not away at `current_at`, the time at which the data was last
+        known to be up to date.
+        """
+        if self._failing_since is None:
+            self._failing_since = current_at
+        # Peers may have read the directory meanwhile.
+        self._failing_since = max(self._failing_since, current_at)
+        self._record_outage(now)
+
+    def record_directory_response(self, now: float) -> None:
+        """Record that the directory responds, also after failures."""
+        if self._failing_since is not None:
+            self._record_outage(now)
+            self._failing_since = None
+
+    def _record_outage(self, now: float) -> None:
+        if now - self._failing_since < MIN_OUTAGE_S:
+            return
         if now >= self._outage_grace_until:
             self._outage_since = now
         self._outage_grace_until = now + RETURN_GRACE_S
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -130,6 +130,7 @@
         """
         changes = without_invalid_entries(changes)
         now = self._clock.monotonic()
+        self._table.record_directory_response(now)
         removals = RemovalTimes(now if since is None else since)
         announce = not self._peers_read()
         if changes.complete:
@@ -149,7 +150,8 @@
 
     def record_failure(self) -> None:
         """Record that a directory request of this gateway failed."""
-        self._table.record_directory_failure(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._table.record_directory_failure(now, now - self._follower.age)
 
     def apply_update(self, update: GatewayUpdate) -> None:
         """Apply the directory changes in the update of a peer."""
--- a/tests/lib/store_standin.py
+++ b/tests/lib/store_standin.py
@@ -125,6 +125,11 @@
         states = [state for changed_at, state in self._states if changed_at <= at]
         return states[-1] if states else self._states[0][1]
 
+    def cut_watches(self) -> None:
+        """Close the connections of all waiting watches."""
+        for transport in self._waiting:
+            transport.close()
+
     async def restore(self, copy: StoreCopy, *, cut_watches: bool = True) -> None:
         """Return to an earlier state in a new era; cut or answer waiting watches.
 
--- a/tests/unit/test_directory_table.py
+++ b/tests/unit/test_directory_table.py
@@ -71,6 +71,35 @@
         self.assertEqual(self.usable(10.3), {})
         self.assertEqual(self.table.usable_for("i-1", 11.0), 0.0)
 
+    def test_cut_watches_are_no_outage(self):
+        """Guards against a target in use that is gone, since watches were cut."""
+        self.table.apply([entry("i-1", 1)], 0.0)
+        read_at = 10.0
+        self.table.apply([entry("i-1", 2, listed=False)], read_at)
+        for cut_at in (10.6, 11.4, 12.2):
+            self.table.record_directory_failure(cut_at, read_at)
+            read_at = cut_at + 0.2
+            self.table.record_directory_response(read_at)
+            for now in (cut_at, read_at, 10.0 + DRAIN_BOUND_S):
+                if now >= 10.0 + ABSENCE_GRACE_S:
+                    self.assertEqual(self.usable(now), {})
+
+    def test_outage_that_a_single_failure_shows(self):
+        """Guards against dropping live upstreams after one request that timed out."""
+        self.table.apply([entry("i-1", 1)], 0.0)
+        self.table.record_directory_failure(10.0, 9.0)
+        self.table.record_directory_response(10.3)
+        self.table.apply_listing((), revision(7), 10.3, RemovalTimes(9.0))
+        self.assertIn("i-1", self.usable(10.3 + ABSENCE_GRACE_S))
+
+    def test_failure_of_one_reader_is_no_outage(self):
+        """Guards against a longer use at a gateway that alone cannot read."""
+        self.table.apply([entry("i-1", 1)], 0.0)
+        for failed_at in (9.0, 10.5, 12.0):
+            self.table.record_directory_failure(failed_at, failed_at - 0.4)
+        self.table.apply([entry("i-1", 2, listed=False)], 12.0)
+        self.assertEqual(self.usable(12.0 + ABSENCE_GRACE_S), {})
+
     def test_entries_that_expire_in_an_outage_stay_usable(self):
         """Guards against dropping live upstreams whose entries expired in an outage."""
         self.table.apply([entry("i-1", 1), entry("i-2", 2)], 0.0)
--- a/tests/unit/test_follower.py
+++ b/tests/unit/test_follower.py
@@ -15,6 +15,7 @@
 class _Directory:
     def __init__(self):
         self.calls = []
+        self.waits = []
         self.error = None
 
     async def load(self):
@@ -22,6 +23,7 @@
         return await self._respond("load", changes)
 
     async def watch(self, after, wait):
+        self.waits.append(wait)
         await asyncio.sleep(0.05)
         changes = DirectoryChanges(after, ())
         return await self._respond(f"watch {after.number}", changes)
@@ -142,6 +144,17 @@
         self.assertTrue(follower.failing)
         self.assertEqual(len(self.failures), 1)
 
+    async def test_watch_after_a_failure_hardly_waits(self):
+        """Guards against cut watches that leave open whether the directory responds."""
+
+        def cut(follower):
+            follower.record_peer_progress(revision(3), 0.0)
+            self.directory.error = PlatformError("cut")
+
+        await self.run_follower(0.6, before=cut)
+        waits = [module.WATCH_WAIT_S, module.CHECK_WAIT_S, module.WATCH_WAIT_S]
+        self.assertEqual(self.directory.waits[:3], waits)
+
     async def test_peer_does_not_return_a_revision_whose_history_is_lost(self):
         """Guards against watches from a lost revision while complete reads fail."""
 
