Honour what upstreams say in their answers: leaving and hold-off

Neither was read: on a leaving target got requests until the end of the test, and three targets that turn everything away with Retry-After: 1.5 got up to 21 requests in the time in which two are allowed.

The gateway that got it notes it for that run of the upstream (routing/notices.py) when the head arrives, and keeps it while the directory removes and returns the entry. A hold-off ends with one call at a time until one is answered. The hub places the calls of that gateway elsewhere. If all upstreams hold off, calls are refused at once, also those that wait, with the time of the first return.

--- a/src/dogwoodshed/_internal/exceptions.py
+++ b/src/dogwoodshed/_internal/exceptions.py
@@ -166,6 +166,19 @@
     title = "no upstream available"
 
 
+class HeldOffError(NotRunError):
+    """Raised when all upstreams of a service want no calls of this gateway for a time.
+
+    `retry_after` is the number of seconds until the first of them can be called.
+    """
+
+    title = "upstreams want no calls for now"
+
+    def __init__(self, service: str, retry_after: float) -> None:
+        super().__init__(f"{service}: upstreams return after {retry_after:.2f} s")
+        self.retry_after = retry_after
+
+
 class PlacementUnavailableError(NotRunError):
     """Raised when the hub cannot place a call; the gateway then does it itself."""
 
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -162,6 +162,8 @@
                 lambda address: self._pools.has_idle_connection(address),
                 self._clock,
                 self._metrics,
+                lambda address: self._pools.retire(address),
+                settings.limits.max_hold_off_s,
             ),
             self._overlay,
         )
--- a/src/dogwoodshed/_internal/probing/prober.py
+++ b/src/dogwoodshed/_internal/probing/prober.py
@@ -11,7 +11,10 @@
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.membership import Membership
 from dogwoodshed._internal.metrics import Metrics
-from dogwoodshed._internal.proxy.load_reports import LoadReportReader
+from dogwoodshed._internal.proxy.load_reports import (
+    LoadReportReader,
+    report_of_response,
+)
 from dogwoodshed._internal.routing.base import (
     LoadReport,
     Outcome,
@@ -129,7 +132,9 @@
         url = f"http://{target.address}{target.path}"
         try:
             async with self._session.get(url, allow_redirects=False) as response:
-                report = self._read_report(response.headers)
+                report = report_of_response(
+                    self._read_report, response.status, response.headers
+                )
                 if response.status < 400:
                     return OutcomeStatus.ANSWERED, report
                 return OutcomeStatus.FAILED, report
--- a/src/dogwoodshed/_internal/proxy/attempts.py
+++ b/src/dogwoodshed/_internal/proxy/attempts.py
@@ -24,7 +24,10 @@
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.proxy.connections import UpstreamPool, UpstreamPools
 from dogwoodshed._internal.proxy.headers import DEFAULT_NAMES, HeaderNames
-from dogwoodshed._internal.proxy.load_reports import LoadReportReader
+from dogwoodshed._internal.proxy.load_reports import (
+    LoadReportReader,
+    report_of_response,
+)
 from dogwoodshed._internal.proxy.upstream_messages import (
     OutboundRequest,
     UpstreamResponse,
@@ -101,8 +104,13 @@
         return self._slot.upstream.id
 
     def record_load_report(self, report: LoadReport | None) -> None:
-        """Keep the load report of the response for the router."""
+        """Keep the load report of the response for the router.
+
+        What it says of further calls applies before the response ends.
+        """
         self._load_report = report
+        if report is not None:
+            self._router.record_notice(self._slot, report)
 
     def end(self, status: OutcomeStatus) -> None:
         """Release the slot and report the outcome to the router."""
@@ -285,7 +293,11 @@
     async def _read_response(
         self, call: Call, response: aiohttp.ClientResponse, attempt: Attempt
     ) -> UpstreamResponse:
-        attempt.record_load_report(self._read_report(response.headers))
+        # Another instance at the address reports nothing of this upstream.
+        if response.status != call.service.not_run.bare_status:
+            attempt.record_load_report(
+                report_of_response(self._read_report, response.status, response.headers)
+            )
         if call.service.not_run.matches(response.status, response.headers):
             await _read_or_close(response)
             raise UpstreamRefusedError(call.service.name)
--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -365,6 +365,12 @@
         for address in set(self._pools) - addresses:
             self._pools.pop(address).retire()
 
+    def retire(self, address: str) -> None:
+        """Retire the pool of an address; its calls go on."""
+        pool = self._pools.pop(address, None)
+        if pool is not None:
+            pool.retire()
+
     async def close(self) -> None:
         """Close all connections."""
         for pool in self._pools.values():
--- a/src/dogwoodshed/_internal/proxy/load_reports.py
+++ b/src/dogwoodshed/_internal/proxy/load_reports.py
@@ -8,11 +8,23 @@
 
 LoadReportReader = Callable[[Mapping[str, str]], LoadReport | None]
 
+# Only a response with this status holds callers off.
+HELD_OFF_STATUS = 503
 # The response header of the Open Request Cost Aggregation (ORCA) protocol.
 ORCA_HEADER = "endpoint-load-metrics"
 _ORCA_TEXT_PREFIX = "TEXT "
 
 
+def report_of_response(
+    read_report: LoadReportReader, status: int, headers: Mapping[str, str]
+) -> LoadReport | None:
+    """Read the report of a response; a hold-off counts only with its status."""
+    report = read_report(headers)
+    if report is None or report.hold_off is None or status == HELD_OFF_STATUS:
+        return report
+    return report._replace(hold_off=None)
+
+
 @registry.register(registry.LOAD_REPORT, "orca")
 def read_orca(headers: Mapping[str, str]) -> LoadReport | None:
     """Parse the text form of an ORCA report; return None if it is malformed."""
--- a/src/dogwoodshed/_internal/proxy/problems.py
+++ b/src/dogwoodshed/_internal/proxy/problems.py
@@ -4,7 +4,11 @@
 import random
 from functools import singledispatch
 
-from dogwoodshed._internal.exceptions import CallError, UpstreamRefusedError
+from dogwoodshed._internal.exceptions import (
+    CallError,
+    HeldOffError,
+    UpstreamRefusedError,
+)
 from dogwoodshed._internal.proxy import headers
 from dogwoodshed._internal.proxy.caller_responses import BufferedResponse
 
@@ -35,6 +39,13 @@
     return random.uniform(MIN_RETRY_AFTER_REFUSED_S, MAX_RETRY_AFTER_REFUSED_S)
 
 
+@retry_delay.register
+def _(error: HeldOffError) -> float:
+    return error.retry_after + random.uniform(
+        MIN_RETRY_AFTER_REFUSED_S, MAX_RETRY_AFTER_REFUSED_S
+    )
+
+
 def problem_response(error: CallError) -> BufferedResponse:
     """Build the response that states how a call failed and whether it ran."""
     body = {
--- a/src/dogwoodshed/_internal/routing/base.py
+++ b/src/dogwoodshed/_internal/routing/base.py
@@ -38,6 +38,8 @@
     slowness: float | None = None
     # The instance that responded, if upstreams identify themselves.
     instance: str = ""
+    # Seconds for which the upstream wants no more calls of this gateway.
+    hold_off: float | None = None
 
 
 class Outcome(NamedTuple):
@@ -142,6 +144,9 @@
     def release(self, slot: Slot, outcome: Outcome) -> None:
         """Return a slot with the outcome of its call."""
 
+    def record_notice(self, slot: Slot, report: LoadReport) -> None:  # noqa: B027
+        """Record at once what a response says of further calls to its upstream."""
+
     @abstractmethod
     def apply_configuration(self, configuration: Configuration) -> None:
         """Apply the services and upstreams of a new configuration."""
--- a/src/dogwoodshed/_internal/routing/delegating_router.py
+++ b/src/dogwoodshed/_internal/routing/delegating_router.py
@@ -203,7 +203,7 @@
             round((call.deadline - now) * 1000),
             round((now - call.arrived_at) * 1000),
             round(call.prior_wait * 1000),
-            tuple(exclude),
+            tuple(exclude | pool.unwanted_addresses(now)),
             connected,
         )
 
@@ -225,6 +225,7 @@
         if (
             state is None
             or state.upstream.address in exclude
+            or not state.is_wanted(self._clock.monotonic())
             or pending.hub != self._link.hub
         ):
             self._metrics.increment("placement.unusable")
--- a/src/dogwoodshed/_internal/routing/shared_pool.py
+++ b/src/dogwoodshed/_internal/routing/shared_pool.py
@@ -14,6 +14,7 @@
     Slot,
 )
 from dogwoodshed._internal.routing.crowding import CrowdingEstimate
+from dogwoodshed._internal.routing.notices import UpstreamNotice
 from dogwoodshed._internal.routing.placement import (
     INITIAL_SERVICE_TIME_SHARE,
     MAX_UNLOADED_SLOWNESS,
@@ -36,6 +37,8 @@
 # While at most this share of the slots has a waiting call, calls of different gateways
 # rarely choose the same slot.
 COLLISION_FREE_SHARE = 0.25
+# Calls in flight at an upstream that has held this gateway off, until one is answered.
+TRIAL_CALLS = 1
 # The mean service time adapts to a changed mix of kinds within about a hundred calls.
 MEAN_SERVICE_TIME_WEIGHT = 0.02
 
@@ -70,6 +73,7 @@
     __slots__ = (
         "backoff_until",
         "delegated_calls",
+        "notice",
         "own_calls",
         "performance",
         "refusal_count",
@@ -80,7 +84,10 @@
         "usable_upstream",
     )
 
-    def __init__(self, usable_upstream: UsableUpstream) -> None:
+    def __init__(
+        self, usable_upstream: UsableUpstream, notice: UpstreamNotice | None = None
+    ) -> None:
+        self.notice = notice or UpstreamNotice()
         # Latest state in the directory.
         self.usable_upstream = usable_upstream
         self.upstream = _upstream_of(usable_upstream)
@@ -109,6 +116,12 @@
         """Return the own calls that the hub does not count by itself."""
         return self.own_calls - self.delegated_calls
 
+    def is_wanted(self, now: float) -> bool:
+        """Return whether the upstream accepts a further call of this gateway."""
+        if self.notice.is_trial and self.own_calls:
+            return False
+        return self.notice.is_available(now)
+
     def is_restart(self, usable_upstream: UsableUpstream) -> bool:
         """Return whether an entry is of a restarted server with the same id."""
         before, after = self.usable_upstream.entry, usable_upstream.entry
@@ -135,6 +148,7 @@
         """Update the backoff; return whether the attempt failed, or None if unknown."""
         if status is OutcomeStatus.CANCELLED:
             return None
+        self.notice.record_response(now)
         if status is OutcomeStatus.REFUSED:
             self.refusal_count += 1
             backoff = SHED_BACKOFF_INITIAL_S * 2 ** min(self.refusal_count - 1, 6)
@@ -246,23 +260,36 @@
         has_connection: Callable[[str], bool],
         now: float,
     ) -> list[Candidate]:
-        """Return the upstreams to choose from; those in backoff only without others."""
+        """Return the upstreams to choose from; those in backoff only without others.
+
+        Those that leave are the last resort for a short time, and those that want no
+        calls of this gateway are left out.
+        """
         mean_slowness = self.mean_slowness.mean
         limits: dict[int, int] = {}
         available = []
         backing_off = []
+        leaving = []
         for upstream_id, state in self.states.items():
             if state.upstream.address in exclude:
                 continue
+            notice = state.notice
+            is_available = notice.is_available(now)
+            if not is_available and not notice.admits_as_last_resort(now):
+                continue
             usable_upstream = state.usable_upstream
             slots = usable_upstream.entry.slots
             call_limit = limits.get(slots)
             if call_limit is None:
                 call_limit = limits[slots] = self.call_limit(state)
+            in_flight = state.in_flight
+            if notice.is_trial:
+                # Calls of other gateways do not prevent the trial of this one.
+                call_limit, in_flight = TRIAL_CALLS, state.own_calls
             candidate = Candidate(
                 upstream_id,
                 call_limit,
-                state.in_flight,
+                in_flight,
                 state.performance.slowness(mean_slowness, now),
                 state.performance.error_rate(now),
                 usable_upstream.entry.data_centre != own_data_centre,
@@ -271,8 +298,34 @@
                 now - state.performance.reported_at,
                 has_connection(state.upstream.address),
             )
-            (available if state.backoff_until <= now else backing_off).append(candidate)
-        return available or backing_off
+            if not is_available:
+                leaving.append(candidate)
+            elif state.backoff_until <= now:
+                available.append(candidate)
+            else:
+                backing_off.append(candidate)
+        return available or backing_off or leaving
+
+    def unwanted_addresses(self, now: float) -> set[str]:
+        """Return the addresses of the upstreams that want no calls of this gateway."""
+        return {
+            state.upstream.address
+            for state in self.states.values()
+            if not state.is_wanted(now)
+        }
+
+    def held_off_for(self, now: float) -> float | None:
+        """Return the seconds until the first of the upstreams can be called again.
+
+        None if one of them can be called now, or if none returns.
+        """
+        times = [
+            state.notice.held_off_until - now
+            for state in self.states.values()
+            if state.notice.leaving_since is None
+        ]
+        first = min(times, default=0.0)
+        return first if first > 0 else None
 
     def backlog(self, call: Call, now: float) -> Backlog:
         """Return the calls ahead of a new call and the capacity of the upstreams."""
@@ -281,8 +334,10 @@
         mean_speed = self.mean_slowness.speed
         capacity = 0.0
         for state in self.states.values():
-            if state.backoff_until <= now:
+            if state.backoff_until <= now and state.notice.is_available(now):
                 call_limit = self.call_limit(state)
+                if state.notice.is_trial:
+                    call_limit = TRIAL_CALLS
                 relative_time = self.crowding.relative_time(
                     call_limit, state.usable_upstream.entry.slots
                 )
--- a/src/dogwoodshed/_internal/routing/shared_pools.py
+++ b/src/dogwoodshed/_internal/routing/shared_pools.py
@@ -5,6 +5,7 @@
 from dogwoodshed._internal.configuration.model import Configuration, Service
 from dogwoodshed._internal.directory.table import UsableUpstream
 from dogwoodshed._internal.routing.base import ProbeTarget, UpstreamStatus
+from dogwoodshed._internal.routing.notices import NoticeBoard
 from dogwoodshed._internal.routing.shared_pool import ServicePool, UpstreamState
 
 
@@ -21,6 +22,7 @@
         self.pools: dict[str, ServicePool] = {}
         self.states: dict[str, UpstreamState] = {}
         self.pool_of: dict[str, ServicePool] = {}
+        self.notices = NoticeBoard()
         # Data centres that have upstreams.
         self.data_centres: set[str] = set()
 
@@ -58,7 +60,9 @@
                 entry = usable_upstream.entry
                 state = self.states.get(entry.id)
                 if state is None or state.is_restart(usable_upstream):
-                    state = UpstreamState(usable_upstream)
+                    state = UpstreamState(
+                        usable_upstream, self.notices.notice_of(entry)
+                    )
                 state.update_usable_upstream(usable_upstream)
                 pool_states[entry.id] = states[entry.id] = state
                 self.pool_of[entry.id] = pool
@@ -83,11 +87,13 @@
         pool = self.pools.get(service.name)
         return len(pool.states) if pool is not None else 0
 
-    def probe_targets(self, data_centres: set[str]) -> Iterator[ProbeTarget]:
+    def probe_targets(
+        self, data_centres: set[str], now: float
+    ) -> Iterator[ProbeTarget]:
         """Yield the upstreams of some data centres as targets of probes."""
         for pool in self.pools.values():
             for state in pool.states.values():
-                if state.upstream.data_centre in data_centres:
+                if state.upstream.data_centre in data_centres and state.is_wanted(now):
                     yield ProbeTarget(
                         pool.service.name,
                         state.upstream.address,
@@ -106,5 +112,13 @@
                     state.upstream.address,
                     state.in_flight,
                     round(slowness * 100, 1),
-                    "absent" if state.usable_upstream.absent else None,
+                    _reason_out(state, now),
                 )
+
+
+def _reason_out(state: UpstreamState, now: float) -> str | None:
+    if state.notice.leaving_since is not None:
+        return "leaving by answer"
+    if state.notice.is_held_off(now):
+        return "held off"
+    return "absent" if state.usable_upstream.absent else None
--- a/src/dogwoodshed/_internal/routing/shared_router.py
+++ b/src/dogwoodshed/_internal/routing/shared_router.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from absl import logging
+
 from dogwoodshed._internal.admission.on_time import should_refuse
 from dogwoodshed._internal.admission.ranked_queue import Waiter
 from dogwoodshed._internal.clock import Clock
@@ -12,6 +14,8 @@
 from dogwoodshed._internal.directory.table import UsableUpstream
 from dogwoodshed._internal.exceptions import (
     DeadlineUnreachableError,
+    HeldOffError,
+    NotRunError,
     NoUpstreamError,
     OverloadedError,
     QueueFullError,
@@ -19,6 +23,7 @@
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.base import (
+    LoadReport,
     Outcome,
     OutcomeStatus,
     ProbeTarget,
@@ -38,6 +43,7 @@
     UpstreamState,
 )
 from dogwoodshed._internal.routing.shared_pools import ServicePools
+from dogwoodshed._internal.settings import LimitSettings
 
 # Interval of checks for free slots while calls wait, since calls of other gateways free
 # slots as well.
@@ -63,6 +69,10 @@
     has_connection: Callable[[str], bool]
     clock: Clock
     metrics: Metrics
+    # Called with the address of an upstream that leaves by its own account.
+    on_leaving: Callable[[str], None] = lambda address: None
+    # Upper bound in seconds of the time for which an upstream can hold calls off.
+    max_hold_off: float = LimitSettings().max_hold_off_s
 
 
 class SharedRouter(Router):
@@ -120,7 +130,7 @@
         now = self._clock.monotonic()
         placement = self._choose(pool, call, exclude, now)
         if placement is None:
-            raise NoUpstreamError(call.service.name)
+            raise self._unavailable_error(pool, call, now)
         pool.update_mean_service_time(pool.service_time_of(call))
         if (
             placement.has_free_slot
@@ -131,6 +141,15 @@
         self._refuse_early(pool, call, now)
         return None
 
+    def _unavailable_error(
+        self, pool: ServicePool, call: Call, now: float
+    ) -> NotRunError:
+        held_off_for = pool.held_off_for(now)
+        if held_off_for is None:
+            return NoUpstreamError(pool.service.name)
+        self._metrics.increment("calls.held_off")
+        return HeldOffError(pool.service.name, min(held_off_for, call.deadline - now))
+
     async def wait_for_slot(self, call: Call, exclude: frozenset[str]) -> PlacedSlot:
         """Queue a call until it gets a slot; raises NotRunError."""
         pool = self._pools.get(call.service.name)
@@ -193,6 +212,30 @@
             self._context.publish()
         return slowness
 
+    def record_notice(self, slot: Slot, report: LoadReport) -> None:
+        """Stop calls to an upstream that leaves, or that wants none for a time."""
+        self._record_notice(slot.state, report)
+
+    def _record_notice(self, state: UpstreamState, report: LoadReport) -> None:
+        now = self._clock.monotonic()
+        entry = state.usable_upstream.entry
+        notice = state.notice
+        if not report.draining and not report.hold_off:
+            return
+        if report.draining and notice.record_leaving(now):
+            self._metrics.increment("upstreams.leaving_by_answer")
+            logging.info("upstream %s leaves, by its own answer", entry.id)
+            self._context.on_leaving(entry.address)
+        if report.hold_off:
+            seconds = min(report.hold_off, self._context.max_hold_off)
+            self._metrics.increment("upstreams.held_off")
+            if notice.record_hold_off(seconds, now):
+                logging.info("upstream %s wants no calls for %.2f s", entry.id, seconds)
+        self._services.notices.keep(entry, notice)
+        pool = self._services.pool_of.get(entry.id)
+        if pool is not None:
+            self._dispatch_queued(pool)
+
     def _occupy(
         self, pool: ServicePool, call: Call, placement: Placement
     ) -> PlacedSlot:
@@ -259,6 +302,11 @@
             self._reject(waiter, DeadlineUnreachableError(pool.service.name))
         for waiter in pool.queue.ordered(pool.service_time_of, now):
             placement = self._choose(pool, waiter.call, waiter.exclude, now)
+            if placement is None and pool.states:
+                # All upstreams that the call may use leave, or want none for a time.
+                pool.queue.remove(waiter)
+                self._reject(waiter, self._unavailable_error(pool, waiter.call, now))
+                continue
             if placement is None or not placement.has_free_slot:
                 if waiter.exclude:
                     continue
@@ -296,7 +344,9 @@
             for data_centre in self._services.data_centres
             if self._context.probes_data_centre(data_centre)
         }
-        return tuple(self._services.probe_targets(probed)) if probed else ()
+        if not probed:
+            return ()
+        return tuple(self._services.probe_targets(probed, self._clock.monotonic()))
 
     def record_probe(self, target: ProbeTarget, outcome: Outcome) -> None:
         """Record a probe; its response time, unlike that of calls, is not used."""
@@ -307,6 +357,8 @@
             if state.upstream.address == target.address and state.is_source_of(
                 outcome.report
             ):
+                if outcome.report is not None:
+                    self._record_notice(state, outcome.report)
                 self._record_outcome(pool, state, outcome, self._clock.monotonic())
 
     def has_waiting_calls(self, call: Call) -> bool:
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -142,6 +142,8 @@
     connect_timeout_s: Annotated[float, Meta(gt=0)] = 1.0
     # If a new connection is reset within this time, the upstream got no request on it.
     connection_settle_s: Annotated[float, Meta(ge=0)] = 0.0
+    # An upstream that wants no calls for longer is asked again after this time.
+    max_hold_off_s: Annotated[float, Meta(gt=0)] = 300.0
     # A stopping gateway accepts connections for this time, until balancers notice.
     stop_linger_s: Annotated[float, Meta(ge=0)] = 0.0
     # Idle connections are closed after this time, before the upstream closes them.
--- a/tests/lib/target_standin.py
+++ b/tests/lib/target_standin.py
@@ -2,13 +2,24 @@
 
 import asyncio
 import time
-from typing import Any
+from typing import Any, NamedTuple
 
 from tests.lib.raw import read_body
 
 RESPONSE_SEAL = "X-Dogwoodshed-Response-Seal: p"
 
 
+class Exchange(NamedTuple):
+    """A request that a target received and how it responded."""
+
+    request_id: str
+    arrived_at: float
+    answered_at: float
+    status: int
+    # Whether the response said that the target leaves.
+    leaving: bool
+
+
 class TargetStandIn:
     """Upstream that responds after a service time, with faults that a test enables."""
 
@@ -28,6 +39,10 @@
         self.headers: list[dict[str, str]] = []
         self.running = 0
         self.refuse = False
+        # What all responses, and the refusals, say of further requests.
+        self.leaving = False
+        self.retry_after = ""
+        self.exchanges: list[Exchange] = []
         # How many of the next responses are lost, sent twice, or sent without the seal.
         self.lose = 0
         self.double = 0
@@ -95,30 +110,45 @@
             return
         self.headers.append(headers)
         request_id = headers.get("x-dogwoodshed-request-id", "")
+        arrived_at = time.monotonic()
+        try:
+            status = await self._answer(headers, request_id, body, reader, writer)
+        except ConnectionError:
+            status = 0
+        self.exchanges.append(
+            Exchange(request_id, arrived_at, time.monotonic(), status, self.leaving)
+        )
+
+    async def _answer(self, headers, request_id: str, body: bytes, reader, writer):
+        """Answer a request; return the status, 0 without an answer."""
         if headers.get("x-dogwoodshed-expect-instance", self.id) != self.id:
             self._respond(writer, 421, [f"X-Dogwoodshed-Instance-Id: {self.id}"])
-            return
+            return 421
         if self.refuse or self.running >= self.slots + 4:
-            self._respond(writer, 503, ["X-Dogwoodshed-Not-Executed: 1"])
-            return
+            refusal = ["X-Dogwoodshed-Not-Executed: 1"]
+            if self.retry_after:
+                refusal.append(f"Retry-After: {self.retry_after}")
+            self._respond(writer, 503, refusal)
+            return 503
         self.runs.setdefault(request_id, []).append(time.monotonic())
         if not await self._run(request_id, reader):
-            return
+            return 0
         echoed_id = [f"X-Dogwoodshed-Request-Id: {request_id}"]
         if self.lose > 0:
             self.lose -= 1
             writer.transport.abort()
-            return
+            return 0
         if self.unproven > 0:
             self.unproven -= 1
             self._respond(writer, 200, echoed_id, b"forged")
-            return
+            return 200
         response = f"{self.id} {request_id} ".encode() + body
         self._respond(writer, 200, [*echoed_id, RESPONSE_SEAL], response)
         if self.double > 0:
             self.double -= 1
             await asyncio.sleep(0.01)
             self._respond(writer, 200, [*echoed_id, RESPONSE_SEAL], response)
+        return 200
 
     async def _run(self, request_id: str, reader: asyncio.StreamReader) -> bool:
         """Run a request; return False if its connection is closed meanwhile."""
@@ -139,6 +169,8 @@
         self, writer, status: int, headers: list[str], body: bytes = b""
     ) -> None:
         load = f"{self.running},0,{self.slots},100"
+        if self.leaving:
+            headers = [*headers, "Server-Leaving: 1"]
         lines = [
             f"HTTP/1.1 {status} X",
             *headers,
