--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -200,7 +200,7 @@
         self._store.subscribe(self._router.apply_configuration)
         self._budget = FleetRetryBudget(settings.retries, self._clock)
         self._roster.subscribe(
-            lambda: self._budget.set_fleet_size(len(self._roster.live))
+            lambda: self._budget.set_fleet_size(self._roster.fleet_size)
         )
         self._endpoints = EndpointServer(
             settings.endpoints, lambda: self._state == STATE_READY, self._metrics
--- a/src/dogwoodshed/_internal/mesh/roster.py
+++ b/src/dogwoodshed/_internal/mesh/roster.py
@@ -64,6 +64,22 @@
     def known(self) -> tuple[Member, ...]:
         return tuple(self._members.values())
 
+    @property
+    def fleet_size(self) -> int:
+        """The number of live gateways and of those that may go on unseen.
+
+        A gateway that is cut off sees no other one, but these share its budgets still.
+        """
+        seen_since = self._clock.monotonic() - FORGET_AFTER_S
+        return sum(
+            member.id == self._own.id
+            or (
+                self._last_seen_at.get(member.id, float("-inf")) > seen_since
+                and self._leaving.get(member.id) != member.incarnation
+            )
+            for member in self._members.values()
+        )
+
     @property
     def hubs(self) -> tuple[Member, ...]:
         """The hub of each data centre, in order of preference."""
--- a/tests/unit/test_roster.py
+++ b/tests/unit/test_roster.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from dogwoodshed._internal.mesh.roster import DEAD_AFTER_S, FleetRoster
+from dogwoodshed._internal.mesh.roster import (
+    DEAD_AFTER_S,
+    FORGET_AFTER_S,
+    FleetRoster,
+)
 from tests.lib.fleet_builders import FakeClock, member
 
 
@@ -29,6 +33,18 @@
         self.see(member("c", "lima-a", 1)._replace(hub_weight=0.1))
         self.assertTrue(self.roster.is_hub)
 
+    def test_gateways_that_may_go_on_unseen_count(self):
+        """Guards against a gateway that takes the budget of the others when cut off."""
+        self.see(member("c", "lima-a", 2), member("d", "lima-b", 3))
+        self.see(member("e", "lima-b", 4), leaving=True)
+        self.assertEqual(self.roster.fleet_size, 3)
+        self.clock.now += DEAD_AFTER_S + 0.1
+        self.roster.refresh()
+        self.assertEqual(len(self.roster.live), 1)
+        self.assertEqual(self.roster.fleet_size, 3)
+        self.clock.now += FORGET_AFTER_S
+        self.assertEqual(self.roster.fleet_size, 1)
+
     def test_silent_hub_is_replaced(self):
         """Guards against a data centre without updates after its hub failed."""
         self.see(member("c", "lima-a", 2))
