Let targets of the soak say that they leave or want no requests

Change: besides the other faults of a seed, from a generator of their own so that seeds keep their meaning, targets refuse with Retry-After and one leaves by its answers. From what targets and callers saw, the soak checks that no request reaches a leaving target late and that a target that wants none gets at most two; restarts and freezes of a gateway and faults of a target's connections excuse it. UpstreamPools.keep_only uses retire.

--- a/src/dogwoodshed/_internal/proxy/connections.py
+++ b/src/dogwoodshed/_internal/proxy/connections.py
@@ -363,7 +363,7 @@
     def keep_only(self, addresses: set[str]) -> None:
         """Retire the pools of all other addresses."""
         for address in set(self._pools) - addresses:
-            self._pools.pop(address).retire()
+            self.retire(address)
 
     def retire(self, address: str) -> None:
         """Retire the pool of an address; its calls go on."""
--- a/tests/lib/target_standin.py
+++ b/tests/lib/target_standin.py
@@ -18,6 +18,8 @@
     status: int
     # Whether the response said that the target leaves.
     leaving: bool
+    # Seconds for which it wants no more requests; 0 if it did not say so.
+    hold_off_s: float = 0.0
 
 
 class TargetStandIn:
@@ -115,8 +117,16 @@
             status = await self._answer(headers, request_id, body, reader, writer)
         except ConnectionError:
             status = 0
+        held_off_s = float(self.retry_after or 0) if status == 503 else 0.0
         self.exchanges.append(
-            Exchange(request_id, arrived_at, time.monotonic(), status, self.leaving)
+            Exchange(
+                request_id,
+                arrived_at,
+                time.monotonic(),
+                status,
+                self.leaving,
+                held_off_s,
+            )
         )
 
     async def _answer(self, headers, request_id: str, body: bytes, reader, writer):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -10,6 +10,7 @@
 
 from dogwoodshed._internal.exceptions import StandInError
 from tests.lib.deployment import CONFIGURATION_KEY, ROUTES, Deployment, route
+from tests.soak.notices import AnswerFaults, Disturbance, SentCall
 from tests.soak.proxy import LoopbackProxy
 
 GATEWAYS = 4
@@ -50,6 +51,7 @@
         self._restores_after_end = self._schedule.random() < 0.5
         self._seconds = seconds
         self._fleet = Deployment(GATEWAYS, zones=2)
+        self._answer_faults = AnswerFaults(seed, self._fleet.targets)
         self._proxies: dict[str, LoopbackProxy] = {}
         self._finished_calls: list[FinishedCall] = []
         self._call_count = 0
@@ -86,16 +88,24 @@
                 asyncio.ensure_future(self._probe_configuration(index))
                 for index in range(GATEWAYS)
             ]
+            answer_faults = asyncio.ensure_future(
+                self._answer_faults.inject(set(self._fleet.targets))
+            )
             deadline = time.monotonic() + self._seconds
             while time.monotonic() < deadline:
                 await self._inject_fault()
                 await asyncio.sleep(self._schedule.uniform(0.1, 0.9))
+            answer_faults.cancel()
+            for target in self._fleet.targets.values():
+                target.refuse = False
             await self._end_faults()
             await self._check_recovery()
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
             self._check_calls()
+            self.violations.extend(self._answer_faults.violations())
+            self.faults.extend(self._answer_faults.faults)
         finally:
             for expiry in self._expiries:
                 expiry.cancel()
@@ -120,12 +130,14 @@
             self._call_count += 1
             request_id = f"c{self._call_count}"
             unsafe = self._random.random() < 0.5
+            gateway = self._random.randrange(GATEWAYS)
+            sent_at = time.monotonic()
             try:
                 response = await self._fleet.call(
                     "/write/a" if unsafe else "/read/a",
                     method="POST" if unsafe else "GET",
                     request_id=request_id,
-                    gateway=self._random.randrange(GATEWAYS),
+                    gateway=gateway,
                 )
             except (OSError, aiohttp.ClientError, TimeoutError):
                 status = 0
@@ -133,8 +145,12 @@
                 status = response.status
                 if status == 200 and f" {request_id} ".encode() not in response.body:
                     self.violations.append(f"{request_id}: response to another request")
+            finished_at = time.monotonic()
             self._finished_calls.append(
-                FinishedCall(request_id, unsafe, status, time.monotonic())
+                FinishedCall(request_id, unsafe, status, finished_at)
+            )
+            self._answer_faults.calls[request_id] = SentCall(
+                gateway, sent_at, finished_at, status
             )
             await asyncio.sleep(self._random.uniform(0.0, 0.03))
 
@@ -187,7 +203,8 @@
 
     async def _run_gateway_fault(self, index: int, kind: str) -> None:
         gateway = self._fleet.gateways[index]
-        self._gateway_fault_at[index] = time.monotonic() + 60
+        started_at = time.monotonic()
+        self._gateway_fault_at[index] = started_at + 60
         if kind == "hup":
             gateway.send_signal(signal.SIGHUP)
         elif kind == "freeze":
@@ -200,6 +217,14 @@
             await gateway.start()
             self._restarted_at[index] = time.monotonic()
         self._gateway_fault_at[index] = time.monotonic()
+        if kind != "hup":
+            self._excuse(index, started_at)
+
+    def _excuse(self, subject: int | str, since: float) -> None:
+        """Record that a gateway or a target's connections were disturbed until now."""
+        self._answer_faults.disturbances.append(
+            Disturbance(subject, since, time.monotonic())
+        )
 
     async def _disrupt_connections(self) -> None:
         name, proxy = self._random.choice(sorted(self._proxies.items()))
@@ -207,6 +232,10 @@
             ("delay", "reset", "cut_answers", "silent", "reset_all", "mute_all")
         )
         self.faults.append(f"{mode} {name}")
+        # All of them may hold up the answers to requests that were sent before.
+        self._answer_faults.disturbances.append(
+            Disturbance(name, time.monotonic() - 1.0, time.monotonic() + 3.0)
+        )
         if mode == "reset_all":
             proxy.reset_all()
         elif mode == "mute_all":
