Announce changes that are known from updates after a gap

Suspected by the review, shown now by a test: a gateway that has a change from an update after a gap, and then reads it from the directory, announced the revision without the change, since it was not new to itself.

Change: the next update contains what was read after the revision that it starts from, whether or not this gateway had it already.

Result: the two tests of changes known from an update after a gap failed before and pass.

--- a/src/dogwoodshed/_internal/directory/table.py
+++ b/src/dogwoodshed/_internal/directory/table.py
@@ -95,6 +95,11 @@
         """Return the latest entry of each upstream."""
         return tuple(self._current_entry(row, now) for row in self._rows.values())
 
+    def entry_of(self, upstream_id: str, now: float) -> UpstreamEntry | None:
+        """Return the latest entry of an upstream, None if it is not known."""
+        row = self._rows.get(upstream_id)
+        return None if row is None else self._current_entry(row, now)
+
     def record_directory_failure(
         self, now: float, current_at: float = float("-inf")
     ) -> None:
--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -133,6 +133,7 @@
         self._table.record_directory_response(now)
         removals = RemovalTimes(now if since is None else since)
         announce = not self._peers_read()
+        known = self._known_changes(changes, now)
         if changes.complete:
             self._listing_unannounced |= announce and self._is_restored(
                 changes.revision
@@ -144,10 +145,36 @@
             changed = self._table.apply(changes.entries, now, removals)
         if announce:
             self._announce_revision(changes.revision)
+            self._unannounced_entries.extend(known.entries)
+            self._text_unannounced |= known.configuration is not None
         else:
             self._advance_revision(changes.revision)
         self._apply(changed, changes.configuration, "directory", announce=announce)
 
+    def _known_changes(self, changes: DirectoryChanges, now: float) -> DirectoryChanges:
+        """Return the changes that this gateway has already, from updates after a gap.
+
+        They are not new here, but its next update says that it contains them.
+        """
+        known = [
+            entry
+            for change in changes.entries
+            if change.revision > self._revision
+            and (entry := self._table.entry_of(change.id, now)) is not None
+            and entry.revision >= change.revision
+        ]
+        text = changes.configuration
+        is_known = (
+            text is not None
+            and text.version <= self._configuration_text.version
+            and DirectoryRevision(changes.revision.era, text.number) > self._revision
+        )
+        return DirectoryChanges(
+            changes.revision,
+            tuple(known),
+            self._configuration_text if is_known else None,
+        )
+
     def record_failure(self) -> None:
         """Record that a directory request of this gateway failed."""
         now = self._clock.monotonic()
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -2,7 +2,10 @@
 
 import unittest
 
-from dogwoodshed._internal.directory.model import DirectoryChanges
+from dogwoodshed._internal.directory.model import (
+    ConfigurationText,
+    DirectoryChanges,
+)
 from dogwoodshed._internal.directory.table import ABSENCE_GRACE_S
 from dogwoodshed._internal.directory.view import GAP_TIMEOUT_S
 from dogwoodshed._internal.mesh.fleet_messages import (
@@ -54,6 +57,43 @@
         self.other.apply_snapshot(self.reader.snapshot(), announce=False)
         self.assertFalse(self.other.has_gap)
 
+    async def test_change_known_from_an_update_after_a_gap_is_announced(self):
+        """Guards against a revision that is announced without one of its changes.
+
+        A gateway has a change from an update after a gap, and reads it from the
+        directory afterwards, so that it is not new; a third gateway lacks it.
+        """
+        third = self.view()
+        update = self.read_entry(1)
+        self.other.apply_update(update)
+        third.apply_update(update)
+        self.read_entry(2)
+        self.other.apply_update(self.read_entry(3))
+        entries = (entry("i-2", 2), entry("i-3", 3))
+        self.other.apply_changes(DirectoryChanges(revision(3), entries))
+        third.apply_update(GatewayUpdate("other", 1, 1, **self.other.compose_update()))
+        self.assertEqual(third.revision, revision(3))
+        known = {sent.id for sent in third.snapshot().entries}
+        self.assertEqual(known, {"i-1", "i-2", "i-3"})
+
+    async def test_configuration_known_from_an_update_after_a_gap_is_announced(self):
+        """Guards against the same for a configuration."""
+        third = self.view()
+        update = self.read_entry(1)
+        self.other.apply_update(update)
+        third.apply_update(update)
+        self.read_entry(2)
+        text = ConfigurationText(3, "text 3", 3)
+        changes = DirectoryChanges(revision(3), (), text)
+        self.reader.apply_changes(changes)
+        update = GatewayUpdate("reader", 1, 3, **self.reader.compose_update())
+        self.other.apply_update(update)
+        changes = DirectoryChanges(revision(3), (entry("i-2", 2),), text)
+        self.other.apply_changes(changes)
+        third.apply_update(GatewayUpdate("other", 1, 1, **self.other.compose_update()))
+        self.assertEqual(third.revision, revision(3))
+        self.assertEqual(third.snapshot().configuration, "text 3")
+
     async def test_no_gap_after_consecutive_updates(self):
         """Guards against snapshots that are requested without need."""
         for number in range(1, 4):
