Pass what responses say through the guarded router

Cause: lets an attempt call record_notice of its router when the head of a response arrives. GuardedRouter wraps the router of the plain product without being one, and had no such method.

Change: it passes the call on.

--- a/src/dogwoodshed/_internal/catch_up.py
+++ b/src/dogwoodshed/_internal/catch_up.py
@@ -9,7 +9,13 @@
 from dogwoodshed._internal.mesh.service import Mesh
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.call import Call
-from dogwoodshed._internal.routing.base import Outcome, OutcomeStatus, Router, Slot
+from dogwoodshed._internal.routing.base import (
+    LoadReport,
+    Outcome,
+    OutcomeStatus,
+    Router,
+    Slot,
+)
 
 FEATURE = "catch_up"
 
@@ -91,6 +97,10 @@
         """Return the number of upstreams of a service."""
         return self._router.count_upstreams(service)
 
+    def record_notice(self, slot: Slot, report: LoadReport) -> None:
+        """Record at once what a response says of further calls to its upstream."""
+        self._router.record_notice(slot, report)
+
     def release(self, slot: Slot, outcome: Outcome) -> None:
         """Return a slot with the outcome of its call."""
         self._router.release(slot, outcome)
--- a/tests/unit/test_catch_up.py
+++ b/tests/unit/test_catch_up.py
@@ -45,6 +45,7 @@
         self.pause_in_acquire = False
         self.acquired = 0
         self.released = []
+        self.notices = []
 
     async def acquire(self, call, *, exclude):
         self.acquired += 1
@@ -55,6 +56,9 @@
     def release(self, slot, outcome):
         self.released.append(outcome)
 
+    def record_notice(self, slot, report):
+        self.notices.append((slot, report))
+
 
 class _DrainTracker:
     def __init__(self):
@@ -96,6 +100,12 @@
         await call
         self.assertEqual(self.router.acquired, 2)
 
+    async def test_passes_on_what_responses_say(self):
+        """Guards against calls that fail because of the report in their response."""
+        report = LoadReport(draining=True)
+        self.guarded.record_notice(self.router.slot, report)
+        self.assertEqual(self.router.notices, [(self.router.slot, report)])
+
     async def test_tracks_load_reports_with_the_time_of_the_call(self):
         """Guards against a response from before a drain that ends the drain."""
         outcome = Outcome(OutcomeStatus.ANSWERED, 2.0, LoadReport(draining=True))
