Count calls in the minute of their end when the timer is late

Callers saw nothing; the report counted calls of a killed gateway in a minute that it named as not covered.

Cause: calls were added to the open minute until the timer closed it, so a late timer added the first calls of the next minute. If the gateway was killed in that next minute, they stood in the summary of the one before.

Change: the recorder starts the next minute at the first call after the boundary and keeps the closed one until the timer publishes it. A planned stop publishes it before the open one.

The new unit test failed before with (10, 2) instead of (10, 1).

--- a/src/dogwoodshed/_internal/reporting/exchange.py
+++ b/src/dogwoodshed/_internal/reporting/exchange.py
@@ -96,21 +96,24 @@
     async def _close_minutes(self) -> None:
         while not self.should_stop:
             await self.sleep(self._recorder.seconds_to_next_minute)
-            closed = self._recorder.close_minute()
-            if closed is not None:
-                self._presences.record(closed.minute, self._live_incarnations().items())
-                task = asyncio.ensure_future(self._publish(closed, final=False))
-                self._publish_tasks.add(task)
-                task.add_done_callback(self._publish_tasks.discard)
+            self._publish_closed_minutes()
 
     async def hand_over_open_minute(self) -> None:
         """Close the open minute and replicate it to peers, on a planned stop."""
         if not self._hand_over_enabled:
             return
+        self._publish_closed_minutes()
         # The summary of the minute before may still be in transit.
         await asyncio.gather(*self._publish_tasks, return_exceptions=True)
         await self._publish(self._recorder.close_now(), final=True)
 
+    def _publish_closed_minutes(self) -> None:
+        while (closed := self._recorder.take_closed_minute()) is not None:
+            self._presences.record(closed.minute, self._live_incarnations().items())
+            task = asyncio.ensure_future(self._publish(closed, final=False))
+            self._publish_tasks.add(task)
+            task.add_done_callback(self._publish_tasks.discard)
+
     async def on_stop(self) -> None:
         """Cancel the summaries that are still in transit."""
         for task in self._publish_tasks:
--- a/src/dogwoodshed/_internal/reporting/recorder.py
+++ b/src/dogwoodshed/_internal/reporting/recorder.py
@@ -1,5 +1,6 @@
 """Count the finished calls and the probes of the open minute."""
 
+from collections import deque
 from typing import NamedTuple
 
 from dogwoodshed._internal.clock import Clock
@@ -23,6 +24,7 @@
         self._minute = self.current_minute
         self._counts = TrafficCounts.empty()
         self._call_stats = self._counts.call_stats
+        self._closed: deque[ClosedMinute] = deque()
 
     @property
     def current_minute(self) -> int:
@@ -34,6 +36,7 @@
 
     def record(self, record: CallRecord) -> None:
         """Count one finished call."""
+        self._roll_over()
         key = (record.service, record.kind, record.rank)
         stats = self._call_stats.get(key)
         if stats is None:
@@ -42,15 +45,13 @@
 
     def count_probe(self, service: str) -> None:
         """Count one probe sent to an upstream of a service."""
+        self._roll_over()
         self._counts.probes[service] += 1
 
-    def close_minute(self) -> ClosedMinute | None:
-        """Close the open minute if it is over."""
-        # If the wall clock was set back, the minute stays open, so that one incarnation
-        # never uses the same minute number twice.
-        if self.current_minute <= self._minute:
-            return None
-        return self.close_now()
+    def take_closed_minute(self) -> ClosedMinute | None:
+        """Return the next minute that is over, or None if there is none."""
+        self._roll_over()
+        return self._closed.popleft() if self._closed else None
 
     def close_now(self) -> ClosedMinute:
         """Close the open minute before its end, on a planned stop."""
@@ -59,3 +60,10 @@
         self._counts = TrafficCounts.empty()
         self._call_stats = self._counts.call_stats
         return closed
+
+    def _roll_over(self) -> None:
+        # A timer that runs late must not add calls of the next minute to this one. If
+        # the wall clock was set back, the minute stays open, so that one incarnation
+        # never uses the same minute number twice.
+        if self.current_minute > self._minute:
+            self._closed.append(self.close_now())
--- a/tests/unit/test_report_merge.py
+++ b/tests/unit/test_report_merge.py
@@ -145,15 +145,35 @@
         recorder = MinuteRecorder(60.0, clock)
         recorder.record(builders.call_record())
         clock.now = 660.0
-        self.assertEqual(recorder.close_minute().minute, 10)
+        self.assertEqual(recorder.take_closed_minute().minute, 10)
         clock.now = 610.0
-        self.assertIsNone(recorder.close_minute())
+        self.assertIsNone(recorder.take_closed_minute())
         recorder.record(builders.call_record())
         clock.now = 720.0
-        closed = recorder.close_minute()
+        closed = recorder.take_closed_minute()
         self.assertEqual(closed.minute, 11)
         self.assertEqual(closed.counts.call_stats[KEY].calls, 1)
 
+    def test_call_of_the_next_minute_before_a_late_timer(self):
+        """Guards against calls in the summary of a minute in which none of them ran."""
+        clock = SettableClock()
+        recorder = MinuteRecorder(60.0, clock)
+        recorder.record(builders.call_record())
+        clock.now = 660.01
+        recorder.record(builders.call_record())
+        recorder.count_probe("s1")
+        first = recorder.take_closed_minute()
+        self.assertEqual((first.minute, first.counts.call_stats[KEY].calls), (10, 1))
+        self.assertFalse(first.counts.probes)
+        self.assertIsNone(recorder.take_closed_minute())
+        clock.now = 720.01
+        recorder.record(builders.call_record())
+        clock.now = 780.01
+        closed = [recorder.take_closed_minute() for _ in range(2)]
+        counts = [(c.minute, c.counts.call_stats[KEY].calls) for c in closed]
+        self.assertEqual(counts, [(11, 1), (12, 1)])
+        self.assertIsNone(recorder.take_closed_minute())
+
     def test_percentiles_are_exact_to_two_digits(self):
         """Guards against a histogram that is inaccurate in the tail."""
         recorder = MinuteRecorder(60.0, SettableClock())
