--- a/tests/functional/test_hub_failures.py
+++ b/tests/functional/test_hub_failures.py
@@ -156,5 +156,7 @@
                 await asyncio.sleep(0.002)
             await asyncio.gather(*tasks)
             self.assertEqual(await gateway.process.wait(), 0)
-        self.assertEqual(set(results) - {"refused", "200"}, set(), results)
+        self.assertEqual(
+            set(results) - {"refused", "200"}, set(), (results, self.refusals())
+        )
         self.assertGreater(sum(results.values()), 100)
