Tell the other gateways that an upstream leaves

Change: the first gateway that gets such an answer names the run of the upstream (id, start, address) in its next update, and the others stop choosing it, also if their directory lists it only later. What came from a peer is not told again. Hold-offs stay with the gateway that got them. Recording of notices moves out of the router into notice_recorder.py.

--- a/src/dogwoodshed/_internal/directory/model.py
+++ b/src/dogwoodshed/_internal/directory/model.py
@@ -51,6 +51,20 @@
     left_before_restore: bool = False
 
 
+class UpstreamRun(NamedTuple):
+    """One run of an upstream; its id and its address may be used again."""
+
+    id: str
+    # Start time in Unix milliseconds.
+    started_ms: int
+    address: str
+
+    @classmethod
+    def from_entry(cls, entry: UpstreamEntry) -> "UpstreamRun":
+        """Return the run that a directory entry describes."""
+        return cls(entry.id, entry.started_ms, entry.address)
+
+
 class ConfigurationText(NamedTuple):
     """The text of a configuration and its version."""
 
--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 from absl import logging
 from mode import Service
@@ -18,6 +19,7 @@
 from dogwoodshed._internal.membership import STATE_JOINING, STATE_LEAVING, STATE_READY
 from dogwoodshed._internal.mesh.fleet_messages import (
     DataCentreLoad,
+    GatewayUpdate,
 )
 from dogwoodshed._internal.mesh.overlay import Overlay
 from dogwoodshed._internal.metrics import Metrics
@@ -93,8 +95,6 @@
         self.handle_placement_request = placements.handle_request
         self.handle_placement_end = placements.handle_end
         self.handle_placement_reply = router.handle_reply
-        self.compose_update = view.compose_update
-        self.apply_update = view.apply_update
         self.snapshot = view.snapshot
         self.apply_snapshot = view.apply_snapshot
         self.directory_progress = view.directory_progress
@@ -113,6 +113,18 @@
         """Return whether the last call of this gateway to the directory failed."""
         return self._view.failing
 
+    def compose_update(self) -> dict[str, Any] | None:
+        """Return the fields of the next update, or None if nothing changed."""
+        fields = self._view.compose_update()
+        leaving = self._router.take_leaving_upstreams()
+        return {**(fields or {}), "leaving": leaving} if leaving else fields
+
+    def apply_update(self, update: GatewayUpdate) -> None:
+        """Apply changes of the directory, and leaving upstreams, that a peer knows."""
+        self._view.apply_update(update)
+        for run in update.leaving:
+            self._router.record_leaving_at_peer(run)
+
     def drop_peer(self, peer_id: str) -> None:
         """Free the places of a peer whose connection ended."""
         self._placements.drop_peer(peer_id)
--- a/src/dogwoodshed/_internal/mesh/fleet_messages.py
+++ b/src/dogwoodshed/_internal/mesh/fleet_messages.py
@@ -5,7 +5,11 @@
 
 from typing import NamedTuple
 
-from dogwoodshed._internal.directory.model import UNKNOWN_ERA, DirectoryRevision
+from dogwoodshed._internal.directory.model import (
+    UNKNOWN_ERA,
+    DirectoryRevision,
+    UpstreamRun,
+)
 
 
 class Member(NamedTuple):
@@ -105,6 +109,8 @@
     complete: bool = False
     # Version that the operator assigned to the configuration; 0 means unknown.
     configuration_version: int = 0
+    # Upstreams that have told the origin in a response that they leave.
+    leaving: tuple[UpstreamRun, ...] = ()
 
     @property
     def starting_revision(self) -> DirectoryRevision:
--- a/src/dogwoodshed/_internal/routing/notices.py
+++ b/src/dogwoodshed/_internal/routing/notices.py
@@ -1,9 +1,8 @@
 """Remember what upstreams say in their responses about further calls."""
 
 import random
-from typing import NamedTuple
 
-from dogwoodshed._internal.directory.model import UpstreamEntry
+from dogwoodshed._internal.directory.model import UpstreamRun
 
 # An upstream that leaves serves for a few seconds after it has said so. For this long
 # it gets calls that no other upstream could serve.
@@ -16,19 +15,6 @@
 MAX_NOTICES = 5_000
 
 
-class Incarnation(NamedTuple):
-    """One run of an upstream; its id and its address may be used again."""
-
-    id: str
-    started_ms: int
-    address: str
-
-    @classmethod
-    def from_entry(cls, entry: UpstreamEntry) -> "Incarnation":
-        """Return the run that a directory entry describes."""
-        return cls(entry.id, entry.started_ms, entry.address)
-
-
 class UpstreamNotice:
     """What one run of an upstream wants of this gateway."""
 
@@ -85,16 +71,15 @@
     """The notices of all upstreams, also of those that the directory lacks."""
 
     def __init__(self) -> None:
-        self._notices: dict[Incarnation, UpstreamNotice] = {}
+        self._notices: dict[UpstreamRun, UpstreamNotice] = {}
 
-    def notice_of(self, entry: UpstreamEntry) -> UpstreamNotice:
+    def notice_of(self, run: UpstreamRun) -> UpstreamNotice:
         """Return the notice of a run; it is kept once `keep` was called."""
-        return self._notices.get(Incarnation.from_entry(entry)) or UpstreamNotice()
+        return self._notices.get(run) or UpstreamNotice()
 
-    def keep(self, entry: UpstreamEntry, notice: UpstreamNotice) -> None:
-        """Keep a notice although the directory may remove and return its entry."""
-        incarnation = Incarnation.from_entry(entry)
-        self._notices.pop(incarnation, None)
-        self._notices[incarnation] = notice
+    def keep(self, run: UpstreamRun, notice: UpstreamNotice) -> None:
+        """Keep a notice although the directory may remove and return the entry."""
+        self._notices.pop(run, None)
+        self._notices[run] = notice
         if len(self._notices) > MAX_NOTICES:
             del self._notices[next(iter(self._notices))]
--- a/src/dogwoodshed/_internal/routing/shared_pool.py
+++ b/src/dogwoodshed/_internal/routing/shared_pool.py
@@ -5,6 +5,7 @@
 
 from dogwoodshed._internal.admission.on_time import Backlog, OnTimeQueue
 from dogwoodshed._internal.configuration.model import Kind, Service, Upstream
+from dogwoodshed._internal.directory.model import UpstreamRun
 from dogwoodshed._internal.directory.table import UsableUpstream
 from dogwoodshed._internal.proxy.call import Call
 from dogwoodshed._internal.routing.base import (
@@ -104,6 +105,10 @@
         self.refusal_count = 0
         self.unreachable_count = 0
 
+    @property
+    def run(self) -> UpstreamRun:
+        return UpstreamRun.from_entry(self.usable_upstream.entry)
+
     @property
     def in_flight(self) -> int:
         """Return own calls as counted here plus those that others reported."""
--- a/src/dogwoodshed/_internal/routing/shared_pools.py
+++ b/src/dogwoodshed/_internal/routing/shared_pools.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from dogwoodshed._internal.configuration.model import Configuration, Service
+from dogwoodshed._internal.directory.model import UpstreamRun
 from dogwoodshed._internal.directory.table import UsableUpstream
 from dogwoodshed._internal.routing.base import ProbeTarget, UpstreamStatus
 from dogwoodshed._internal.routing.notices import NoticeBoard
@@ -61,7 +62,8 @@
                 state = self.states.get(entry.id)
                 if state is None or state.is_restart(usable_upstream):
                     state = UpstreamState(
-                        usable_upstream, self.notices.notice_of(entry)
+                        usable_upstream,
+                        self.notices.notice_of(UpstreamRun.from_entry(entry)),
                     )
                 state.update_usable_upstream(usable_upstream)
                 pool_states[entry.id] = states[entry.id] = state
--- a/src/dogwoodshed/_internal/routing/shared_router.py
+++ b/src/dogwoodshed/_internal/routing/shared_router.py
@@ -5,12 +5,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from absl import logging
-
 from dogwoodshed._internal.admission.on_time import should_refuse
 from dogwoodshed._internal.admission.ranked_queue import Waiter
 from dogwoodshed._internal.clock import Clock
 from dogwoodshed._internal.configuration.model import Configuration, Service
+from dogwoodshed._internal.directory.model import UpstreamRun
 from dogwoodshed._internal.directory.table import UsableUpstream
 from dogwoodshed._internal.exceptions import (
     DeadlineUnreachableError,
@@ -31,6 +30,7 @@
     RouterStatus,
     Slot,
 )
+from dogwoodshed._internal.routing.notice_recorder import NoticeRecorder
 from dogwoodshed._internal.routing.placement import (
     INITIAL_SERVICE_TIME_SHARE,
     Placement,
@@ -91,6 +91,15 @@
         self._load = SharedLoad(
             self._pools, self._states, self._services.pool_of, self._clock
         )
+        self._notices = NoticeRecorder(
+            self._services,
+            context.on_leaving,
+            context.publish,
+            context.max_hold_off,
+            self._clock,
+            self._metrics,
+        )
+        self.take_leaving_upstreams = self._notices.take_unannounced
         self.find_service = self._services.find_service
         self.clamp_rank = self._services.clamp_rank
 
@@ -217,22 +226,17 @@
         self._record_notice(slot.state, report)
 
     def _record_notice(self, state: UpstreamState, report: LoadReport) -> None:
-        now = self._clock.monotonic()
-        entry = state.usable_upstream.entry
-        notice = state.notice
-        if not report.draining and not report.hold_off:
-            return
-        if report.draining and notice.record_leaving(now):
-            self._metrics.increment("upstreams.leaving_by_answer")
-            logging.info("upstream %s leaves, by its own answer", entry.id)
-            self._context.on_leaving(entry.address)
-        if report.hold_off:
-            seconds = min(report.hold_off, self._context.max_hold_off)
-            self._metrics.increment("upstreams.held_off")
-            if notice.record_hold_off(seconds, now):
-                logging.info("upstream %s wants no calls for %.2f s", entry.id, seconds)
-        self._services.notices.keep(entry, notice)
-        pool = self._services.pool_of.get(entry.id)
+        if self._notices.record_report(state, report):
+            self._dispatch_to(state.run.id)
+
+    def record_leaving_at_peer(self, run: UpstreamRun) -> None:
+        """Stop calls to an upstream that has told a peer that it leaves."""
+        if self._notices.record_leaving_at_peer(run):
+            self._dispatch_to(run.id)
+
+    def _dispatch_to(self, upstream_id: str) -> None:
+        """Assign slots to the calls that wait for the service of an upstream."""
+        pool = self._services.pool_of.get(upstream_id)
         if pool is not None:
             self._dispatch_queued(pool)
 
--- a/tests/functional/test_target_notices.py
+++ b/tests/functional/test_target_notices.py
@@ -23,6 +23,8 @@
 MAX_HELD_OFF_ARRIVALS = 2
 # Calls that cannot be served are refused without waiting for their deadline.
 REFUSED_WITHIN_S = 0.5
+# Gateways tell each other of a leaving target well within the bound.
+TOLD_WITHIN_S = 0.5
 ROUTES = (
     route("read", "/read/"),
     route("write", "/write/", route_type="unsafe", timeout_ms=1500),
@@ -118,6 +120,24 @@
         self.assertGreater(len(target.exchanges), 10)
         self.assertEqual(set(self.statuses), {200})
 
+    async def test_other_gateways_learn_that_a_target_leaves(self):
+        """Guards against a late leave at gateways that got no answer of the target."""
+        self.stopped.set()
+        await asyncio.gather(*self.callers)
+        target = self.fleet.targets["i-0"]
+        # With probes, hubs learn it themselves.
+        target.leaving, target.probes_say_leaving = True, False
+        target.exchanges.clear()
+        async with asyncio.timeout(5.0):
+            while not target.exchanges:
+                await self.fleet.call("/read/a", gateway=0)
+        await asyncio.sleep(TOLD_WITHIN_S)
+        target.exchanges.clear()
+        for number in range(20 * GATEWAYS):
+            response = await self.fleet.call("/read/a", gateway=number % GATEWAYS)
+            self.assertEqual(response.status, 200)
+        self.assertEqual(target.exchanges, [])
+
     async def test_restarted_target_is_used_again(self):
         """Guards against a target that stays unused since its last run has left."""
         target = self.fleet.targets["i-0"]
--- a/tests/lib/fleet_builders.py
+++ b/tests/lib/fleet_builders.py
@@ -15,7 +15,11 @@
     Service,
 )
 from dogwoodshed._internal.configuration.store import ConfigurationStore
-from dogwoodshed._internal.directory.model import DirectoryRevision, UpstreamEntry
+from dogwoodshed._internal.directory.model import (
+    DirectoryRevision,
+    UpstreamEntry,
+    UpstreamRun,
+)
 from dogwoodshed._internal.directory.table import UpstreamTable, UsableUpstream
 from dogwoodshed._internal.directory.view import DirectoryView
 from dogwoodshed._internal.mesh.fleet_messages import (
@@ -86,6 +90,11 @@
     )
 
 
+def upstream_run(upstream_id: str, **changes: Any) -> UpstreamRun:
+    """Build the run of an upstream from `usable_upstream`."""
+    return UpstreamRun.from_entry(usable_upstream(upstream_id, **changes).entry)
+
+
 def member(name: str, data_centre: str = "lima-a", incarnation: int = 1) -> Member:
     """Build a member of a fleet."""
     return Member(name, f"10.0.0.{incarnation}:70", data_centre, incarnation)
--- a/tests/lib/target_standin.py
+++ b/tests/lib/target_standin.py
@@ -43,6 +43,7 @@
         self.refuse = False
         # What all responses, and the refusals, say of further requests.
         self.leaving = False
+        self.probes_say_leaving = True
         self.retry_after = ""
         self.exchanges: list[Exchange] = []
         # How many of the next responses are lost, sent twice, or sent without the seal.
@@ -108,7 +109,9 @@
             for name, value in (line.split(": ", 1) for line in lines[1:] if line)
         }
         if lines[0].startswith("GET /healthz "):
-            self._respond(writer, 200, [f"X-Dogwoodshed-Instance-Id: {self.id}"])
+            instance = f"X-Dogwoodshed-Instance-Id: {self.id}"
+            leaving = self.leaving and self.probes_say_leaving
+            self._respond(writer, 200, [instance], leaving=leaving)
             return
         self.headers.append(headers)
         request_id = headers.get("x-dogwoodshed-request-id", "")
@@ -176,10 +179,15 @@
             self.running -= 1
 
     def _respond(
-        self, writer, status: int, headers: list[str], body: bytes = b""
+        self,
+        writer,
+        status: int,
+        headers: list[str],
+        body: bytes = b"",
+        leaving: bool | None = None,
     ) -> None:
         load = f"{self.running},0,{self.slots},100"
-        if self.leaving:
+        if self.leaving if leaving is None else leaving:
             headers = [*headers, "Server-Leaving: 1"]
         lines = [
             f"HTTP/1.1 {status} X",
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -83,11 +83,12 @@
     async def acquire(self, **changes):
         return await self.router.acquire(builders.call(self.clock, **changes))
 
-    async def chosen(self, count=40):
+    async def chosen(self, count=40, router=None):
+        router = router or self.router
         ids = set()
         for _ in range(count):
-            slot = await self.acquire()
-            self.router.release(slot, CANCELLED)
+            slot = await router.acquire(builders.call(self.clock))
+            router.release(slot, CANCELLED)
             ids.add(slot.upstream.id)
         return ids
 
@@ -132,6 +133,34 @@
         )
         self.assertEqual(await self.chosen(), {"i-1", "i-2"})
 
+    async def test_leaving_upstream_is_told_to_peers_once(self):
+        """Guards against gateways that send calls until they get an answer themselves.
+
+        What came from a peer is not told again, and a hold-off is told to nobody.
+        """
+        self.assertEqual(self.router.take_leaving_upstreams(), ())
+        await self.say(HOLD_OFF, "i-2")
+        await self.say(LEAVING, "i-1")
+        await self.say(LEAVING, "i-1")
+        (run,) = self.router.take_leaving_upstreams()
+        self.assertEqual(run, builders.upstream_run("i-1"))
+        self.assertEqual(self.router.take_leaving_upstreams(), ())
+        peer = builders.router(self.clock, "i-1", "i-2")
+        peer.record_leaving_at_peer(run)
+        self.assertEqual(await self.chosen(router=peer), {"i-2"})
+        self.assertEqual(peer.take_leaving_upstreams(), ())
+
+    async def test_run_that_leaves_before_the_directory_lists_it(self):
+        """Guards against a late directory that returns an upstream that has left."""
+        self.router.record_leaving_at_peer(builders.upstream_run("i-3"))
+        self.router.record_leaving_at_peer(builders.upstream_run("i-1", started_ms=9))
+        upstreams = [builders.usable_upstream(f"i-{number}") for number in (1, 2, 3)]
+        self.router.apply_upstreams(upstreams)
+        self.assertEqual(await self.chosen(), {"i-1", "i-2"})
+        upstreams[0] = builders.usable_upstream("i-1", started_ms=9)
+        self.router.apply_upstreams(upstreams)
+        self.assertEqual(await self.chosen(), {"i-2"})
+
     async def test_last_upstreams_that_leave(self):
         """Guards against refusals while the last upstreams still serve, and after."""
         await self.say(LEAVING, "i-1", "i-2")
@@ -228,10 +257,10 @@
     def test_earliest_notices_are_forgotten(self):
         """Guards against memory that grows with each upstream that ever left."""
         board = NoticeBoard()
-        entries = [builders.entry(f"i-{n}", 1) for n in range(MAX_NOTICES + 1)]
-        for entry in entries:
-            notice = board.notice_of(entry)
+        runs = [builders.upstream_run(f"i-{n}") for n in range(MAX_NOTICES + 1)]
+        for run in runs:
+            notice = board.notice_of(run)
             notice.record_leaving(1.0)
-            board.keep(entry, notice)
-        self.assertIsNone(board.notice_of(entries[0]).leaving_since)
-        self.assertEqual(board.notice_of(entries[-1]).leaving_since, 1.0)
+            board.keep(run, notice)
+        self.assertIsNone(board.notice_of(runs[0]).leaving_since)
+        self.assertEqual(board.notice_of(runs[-1]).leaving_since, 1.0)
