Put the limits of the operator's configuration in effect

The configuration carries limits for callers (size of a head and a body, time for a head, idle time).

Change: the adapter decodes the limits, and the server applies them when a configuration comes into effect. Idle connections are found by a check once a second, counted from its first look, since a connection must not be closed earlier than stated, also if the limit grows while it is idle.

--- a/src/dogwoodshed/_internal/configuration/model.py
+++ b/src/dogwoodshed/_internal/configuration/model.py
@@ -99,6 +99,16 @@
     backends: tuple[Backend, ...]
 
 
+class CallerLimits(NamedTuple):
+    """Bounds on the requests of callers; None leaves the setting of the gateway."""
+
+    max_header_bytes: int | None = None
+    max_body_bytes: int | None = None
+    # Seconds until the head of a request is complete, and between two requests.
+    head_timeout: float | None = None
+    idle_timeout: float | None = None
+
+
 class Configuration(NamedTuple):
     """An accepted configuration and its revision."""
 
@@ -109,6 +119,7 @@
     services: tuple[Service, ...]
     # Only for platforms that define routes by host separately from the services.
     routes: tuple[Route, ...] = ()
+    caller_limits: CallerLimits = CallerLimits()
 
     def find_service(self, path: str) -> Service | None:
         """Return the service with the longest path prefix that matches."""
--- a/src/dogwoodshed/_internal/proxy/callers.py
+++ b/src/dogwoodshed/_internal/proxy/callers.py
@@ -1,17 +1,23 @@
 """Manage the connections of callers."""
 
+import asyncio
+
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
 from dogwoodshed._internal.exceptions import MalformedRequestError
 from dogwoodshed._internal.metrics import Metrics
 from dogwoodshed._internal.proxy.problems import problem_response
+from dogwoodshed._internal.settings import LimitSettings
+
+# Connections are closed up to twice this time after they have become idle for too long.
+_IDLE_CHECK_INTERVAL_S = 1.0
 
 
 class CallerConnection(RequestHandler):
     """Connection of a caller; closed if the head of a request takes too long."""
 
-    __slots__ = ("_head_timer", "head_timeout", "metrics")
+    __slots__ = ("_head_timer", "_idle_since", "head_timeout", "metrics")
 
     @property
     def idle(self) -> bool:
@@ -33,6 +39,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes, and start or stop the timer of a head."""
+        self._idle_since = None
         super().data_received(data)
         if not self._has_partial_head:
             self._stop_timer()
@@ -41,6 +48,16 @@
                 self.head_timeout, self._close_slow
             )
 
+    def close_if_idle_since(self, now: float, timeout: float) -> None:
+        """Close the connection if earlier calls have found it idle for a time."""
+        if not self.idle:
+            self._idle_since = None
+        elif self._idle_since is None:
+            self._idle_since = now
+        elif now - self._idle_since >= timeout:
+            self.metrics.increment("requests.idle_timeouts")
+            self.force_close()
+
     def connection_lost(self, exc: BaseException | None) -> None:
         """Stop the timer of a connection that ended."""
         self._stop_timer()
@@ -79,18 +96,50 @@
     """Server that creates and tracks the connections of callers."""
 
     def __init__(
-        self, handler, metrics: Metrics, head_timeout: float, **options
+        self, handler, metrics: Metrics, limits: LimitSettings, **options
     ) -> None:
-        super().__init__(handler, **options)
+        # The timeout of aiohttp cannot change while a connection is open.
+        super().__init__(handler, keepalive_timeout=float("inf"), **options)
         self._metrics = metrics
-        self._head_timeout = head_timeout
+        self._idle_timer: asyncio.TimerHandle | None = None
+        self._apply_to_new(limits)
+        self._schedule_idle_check()
+
+    def apply_limits(self, limits: LimitSettings) -> None:
+        """Apply new limits; the size of a head is bounded on new connections only."""
+        self._apply_to_new(limits)
+        for connection in self.connections:
+            connection.head_timeout = limits.head_timeout_s
+
+    def _apply_to_new(self, limits: LimitSettings) -> None:
+        self._limits = limits
+        self._kwargs["max_line_size"] = limits.max_header_bytes
+        self._kwargs["max_field_size"] = limits.max_header_bytes
+
+    def _schedule_idle_check(self) -> None:
+        self._idle_timer = self._loop.call_later(
+            _IDLE_CHECK_INTERVAL_S, self._close_long_idle
+        )
+
+    def _close_long_idle(self) -> None:
+        now = self._loop.time()
+        for connection in list(self.connections):
+            connection.close_if_idle_since(now, self._limits.caller_idle_timeout_s)
+        self._schedule_idle_check()
+
+    async def shutdown(self, timeout: float | None = None) -> None:
+        """Close all connections, and stop to check them."""
+        if self._idle_timer is not None:
+            self._idle_timer.cancel()
+        await super().shutdown(timeout)
 
     def __call__(self) -> CallerConnection:
         """Create the protocol instance of a new connection."""
         connection = CallerConnection(self, loop=self._loop, **self._kwargs)
         connection.metrics = self._metrics
-        connection.head_timeout = self._head_timeout
+        connection.head_timeout = self._limits.head_timeout_s
         connection._head_timer = None
+        connection._idle_since = None
         return connection
 
     def close_idle(self) -> None:
--- a/src/dogwoodshed/_internal/proxy/server.py
+++ b/src/dogwoodshed/_internal/proxy/server.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 
 from dogwoodshed._internal.clock import Clock
+from dogwoodshed._internal.configuration.model import Configuration
 from dogwoodshed._internal.configuration.store import ConfigurationStore
 from dogwoodshed._internal.exceptions import (
     CallError,
@@ -115,7 +116,8 @@
         self._routes = Routes(None)
         self._forwarder = forwarder
         self._recorder = recorder
-        self._limits = limits
+        # As set for this gateway, and with those of the configuration.
+        self._own_limits = self._limits = limits
         self._clock = clock
         self._metrics = metrics
         self._in_flight = 0
@@ -153,13 +155,11 @@
         self._server = CallerConnections(
             self._handle,
             self._metrics,
-            self._limits.head_timeout_s,
+            self._limits,
             handler_cancellation=True,
             auto_decompress=False,
             access_log=None,
             lingering_time=READ_AFTER_REFUSAL_S,
-            max_line_size=self._limits.max_header_bytes,
-            max_field_size=self._limits.max_header_bytes,
             read_bufsize=_READ_BUFFER_BYTES,
         )
         self._socket = listener or socket.create_server(
@@ -169,9 +169,16 @@
         self._listener = await self._loop.create_server(
             self._server, sock=self._socket, backlog=LISTEN_BACKLOG
         )
+        self._store.subscribe(self._apply_limits)
+        if self._store.current is not None:
+            self._apply_limits(self._store.current)
         self._port = self._socket.getsockname()[1]
         self._accepting = True
 
+    def _apply_limits(self, configuration: Configuration) -> None:
+        self._limits = self._own_limits.with_caller_limits(configuration.caller_limits)
+        self._server.apply_limits(self._limits)
+
     def begin_stop(self, timeout: float | None) -> None:
         """Serve one more request on each connection, and bound the stop."""
         self._stopping = True
--- a/src/dogwoodshed/_internal/settings.py
+++ b/src/dogwoodshed/_internal/settings.py
@@ -11,6 +11,7 @@
     parse_document,
     read_document_text,
 )
+from dogwoodshed._internal.configuration.model import CallerLimits
 from dogwoodshed._internal.exceptions import InvalidDocumentError
 
 _Address = Annotated[str, Meta(pattern=r"^[^\s]+:\d+$")]
@@ -131,6 +132,8 @@
     # From the first byte of a request until its head is complete.
     head_timeout_s: Annotated[float, Meta(gt=0)] = 10.0
     max_body_bytes: Annotated[int, Meta(ge=0)] = 64 * 1024 * 1024
+    # Connections on which callers send no request are closed after this time.
+    caller_idle_timeout_s: Annotated[float, Meta(gt=0)] = 3600.0
     replay_body_bytes: Annotated[int, Meta(ge=0)] = 65_536
     # Longer response bodies are cut off, as are those of unknown length that have not
     # ended by the deadline of their call.
@@ -154,6 +157,18 @@
     # Buffer short responses without a length, so that a truncated one can be retried.
     hold_unsized: bool = False
 
+    def with_caller_limits(self, limits: CallerLimits) -> "LimitSettings":
+        """Return a copy with the bounds that a configuration sets for callers."""
+        changes = {
+            "max_header_bytes": limits.max_header_bytes,
+            "max_body_bytes": limits.max_body_bytes,
+            "head_timeout_s": limits.head_timeout,
+            "caller_idle_timeout_s": limits.idle_timeout,
+        }
+        return msgspec.structs.replace(
+            self, **{key: value for key, value in changes.items() if value is not None}
+        )
+
 
 class Settings(_SettingsBase):
     """Settings of one gateway process."""
--- a/tests/lib/deployment.py
+++ b/tests/lib/deployment.py
@@ -168,6 +168,8 @@
         # Settings of the gateways, if not the usual ones.
         self.stop_grace_s: float | None = None
         self.limits: dict[str, Any] = {}
+        # The limits of the operator's configuration.
+        self.caller_limits: dict[str, Any] = {}
         self._version = 0
         self._session: aiohttp.ClientSession | None = None
 
@@ -257,7 +259,7 @@
             "version": f"{self._version:08x}",
             "routes": list(routes),
             "services": services,
-            "limits": {},
+            "limits": self.caller_limits,
         }
         await self._write(CONFIGURATION_KEY, value)
 
--- a/tests/unit/test_adapter_decode.py
+++ b/tests/unit/test_adapter_decode.py
@@ -3,6 +3,7 @@
 import json
 import unittest
 
+from dogwoodshed._internal.configuration.model import CallerLimits
 from dogwoodshed._internal.exceptions import InvalidDocumentError
 from tests.lib import fleet_builders as builders
 from tests.lib.adapter import decode, headers
@@ -99,6 +100,29 @@
         self.assertEqual([b.service.name for b in route.backends], ["x"])
         self.assertEqual(route.kind.max_attempts, 2)
 
+    def test_decodes_limits(self):
+        """Guards against limits that are ignored, and odd ones that reject a text."""
+        for limits, expected in (
+            (
+                {
+                    "max_header_bytes": 16384,
+                    "max_body_bytes": 1000,
+                    "header_timeout_ms": 3000,
+                    "idle_timeout_ms": 15000,
+                },
+                CallerLimits(16384, 1000, 3.0, 15.0),
+            ),
+            ({"max_body_bytes": "9", "idle_timeout_ms": 10**400}, CallerLimits()),
+            ({"max_header_bytes": 0, "header_timeout_ms": -1}, CallerLimits()),
+            ({"max_body_bytes": True, "idle_timeout_ms": 1.5}, CallerLimits()),
+            ([], CallerLimits()),
+            (None, CallerLimits()),
+        ):
+            with self.subTest(limits):
+                text = json.dumps({**CONFIGURATION, "limits": limits})
+                decoded = decode.decode_configuration(text, 3)
+                self.assertEqual(decoded.caller_limits, expected)
+
     def test_invalid_configuration_is_rejected(self):
         """Guards against an invalid configuration that removes all routes."""
         for text in ("", "{", "[]", json.dumps({**CONFIGURATION, "services": []})):
