Log which upstreams an attempt left out because of what they said

Change: the choice of an attempt ends with up to three of them and their reasons, 'i-1 leaving by answer' or 'i-2 held off until 1.20s later'. The status page gives the same reason.

--- a/src/dogwoodshed/_internal/routing/delegating_router.py
+++ b/src/dogwoodshed/_internal/routing/delegating_router.py
@@ -234,7 +234,13 @@
         state.delegated_calls += 1
         age = reply.report_age_ms / 1000 if reply.report_age_ms >= 0 else float("inf")
         placement = Placement(
-            reply.upstream_id, True, 0.0, reply.slowness / 100, reply.in_flight, age
+            reply.upstream_id,
+            True,
+            0.0,
+            reply.slowness / 100,
+            reply.in_flight,
+            age,
+            left_out=pool.describe_left_out(self._clock.monotonic()),
         )
         epoch = self.load.delegation_epoch
         return DelegatedSlot(pool, state, call, placement, pending, epoch)
--- a/src/dogwoodshed/_internal/routing/notices.py
+++ b/src/dogwoodshed/_internal/routing/notices.py
@@ -43,6 +43,14 @@
             and now >= self.held_off_until
         )
 
+    def describe(self, now: float) -> str:
+        """Return why the upstream gets no calls, or an empty text if it does."""
+        if self.leaving_since is not None:
+            return "leaving by answer"
+        if self.is_held_off(now):
+            return f"held off until {self.held_off_until - now:.2f}s later"
+        return ""
+
     def record_leaving(self, now: float) -> bool:
         """Record that the upstream leaves; return whether that is new."""
         is_new = self.leaving_since is None
--- a/src/dogwoodshed/_internal/routing/placement.py
+++ b/src/dogwoodshed/_internal/routing/placement.py
@@ -188,6 +188,8 @@
     report_age: float
     # Free slots of all candidates, as far as this gateway knows them.
     free_slots: int = 0
+    # Upstreams that were left out because of what they said, and why.
+    left_out: str = ""
 
     @property
     def report_age_ms(self) -> int:
--- a/src/dogwoodshed/_internal/routing/shared_pool.py
+++ b/src/dogwoodshed/_internal/routing/shared_pool.py
@@ -38,6 +38,8 @@
 # While at most this share of the slots has a waiting call, calls of different gateways
 # rarely choose the same slot.
 COLLISION_FREE_SHARE = 0.25
+# An attempt in the event log names this many of the upstreams that it had to leave out.
+MAX_LOGGED_NOTICES = 3
 # Calls in flight at an upstream that has held this gateway off, until one is answered.
 TRIAL_CALLS = 1
 # The mean service time adapts to a changed mix of kinds within about a hundred calls.
@@ -65,7 +67,8 @@
         age = f"{chosen.report_age_ms}ms-old"
         if chosen.report_age_ms < 0:
             age = "unreported"
-        return f"x{chosen.slowness:.2f} {chosen.in_flight}busy {age}"
+        left_out = f" without {chosen.left_out}" if chosen.left_out else ""
+        return f"x{chosen.slowness:.2f} {chosen.in_flight}busy {age}{left_out}"
 
 
 class UpstreamState:
@@ -319,6 +322,17 @@
             if not state.is_wanted(now)
         }
 
+    def describe_left_out(self, now: float) -> str:
+        """Return which upstreams get no calls because of what they said, and why."""
+        reasons = [
+            f"{upstream_id} {reason}"
+            for upstream_id, state in self.states.items()
+            if (reason := state.notice.describe(now))
+        ]
+        shown = ", ".join(reasons[:MAX_LOGGED_NOTICES])
+        hidden = len(reasons) - MAX_LOGGED_NOTICES
+        return f"{shown} and {hidden} more" if hidden > 0 else shown
+
     def held_off_for(self, now: float) -> float | None:
         """Return the seconds until the first of the upstreams can be called again.
 
--- a/src/dogwoodshed/_internal/routing/shared_pools.py
+++ b/src/dogwoodshed/_internal/routing/shared_pools.py
@@ -119,8 +119,6 @@
 
 
 def _reason_out(state: UpstreamState, now: float) -> str | None:
-    if state.notice.leaving_since is not None:
-        return "leaving by answer"
-    if state.notice.is_held_off(now):
-        return "held off"
-    return "absent" if state.usable_upstream.absent else None
+    return state.notice.describe(now) or (
+        "absent" if state.usable_upstream.absent else None
+    )
--- a/src/dogwoodshed/_internal/routing/shared_router.py
+++ b/src/dogwoodshed/_internal/routing/shared_router.py
@@ -261,12 +261,15 @@
         if call.connected_addresses is not None:
             has_connection = call.connected_addresses.__contains__
         candidates = pool.candidates(exclude, context.data_centre, has_connection, now)
-        return choose_upstream(
+        placement = choose_upstream(
             candidates,
             service_time,
             self._random,
             pool.count_competing_calls(call.rank),
         )
+        if placement is None or not (left_out := pool.describe_left_out(now)):
+            return placement
+        return placement._replace(left_out=left_out)
 
     def _wins_slot(
         self, pool: ServicePool, call: Call, placement: Placement, share: float
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -223,6 +223,19 @@
         with self.assertRaises(HeldOffError):
             await waiting
 
+    async def test_log_names_what_was_left_out(self):
+        """Guards against logs that hide why an upstream got no calls."""
+        self.assertNotIn("without", (await self.acquire()).describe_choice())
+        ids = [f"i-{number}" for number in range(1, 8)]
+        self.router = builders.router(self.clock, *ids)
+        await self.say(LEAVING, "i-1")
+        await self.say(HOLD_OFF, "i-2")
+        text = (await self.acquire_at("i-3")).describe_choice()
+        self.assertIn("without i-1 leaving by answer, i-2 held off until 2.", text)
+        await self.say(LEAVING, "i-4", "i-5", "i-6")
+        text = (await self.acquire_at("i-3")).describe_choice()
+        self.assertTrue(text.endswith("i-4 leaving by answer and 2 more"), text)
+
     async def test_long_hold_off_is_bounded(self):
         """Guards against an upstream that is never used again."""
         await self.say(LoadReport(hold_off=1e8), "i-1")
