--- a/src/dogwoodshed/_internal/directory/view.py
+++ b/src/dogwoodshed/_internal/directory/view.py
@@ -1,7 +1,7 @@
 """Hold the directory data of this gateway and share it with the others."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from absl import logging
@@ -11,7 +11,6 @@
 from dogwoodshed._internal.directory.follower import DirectoryFollower
 from dogwoodshed._internal.directory.model import (
     NO_REVISION,
-    UNKNOWN_ERA,
     ConfigurationText,
     DirectoryChanges,
     DirectoryRevision,
@@ -23,6 +22,12 @@
     UsableUpstream,
 )
 from dogwoodshed._internal.directory.validation import without_invalid_entries
+from dogwoodshed._internal.directory.wire import (
+    decode_entries,
+    decode_removals,
+    encode_entry,
+    with_known_era,
+)
 from dogwoodshed._internal.exceptions import ConfigurationError
 from dogwoodshed._internal.mesh.fleet_messages import (
     DirectoryEntry,
@@ -34,8 +39,6 @@
 # A peer may have a later revision while updates are in transit. If this takes longer,
 # some updates were lost.
 GAP_TIMEOUT_S = 0.6
-# Fields of an entry that are the same in messages.
-_SHARED_FIELDS = tuple(name for name in UpstreamEntry._fields if name != "revision")
 # The first data of a large fleet has hundreds of entries; more changes than this at
 # once share one log line.
 MAX_LOGGED_ENTRIES = 8
@@ -185,8 +188,8 @@
         revision = self._with_known_era(update.reached_revision)
         if revision.number:
             now = self._clock.monotonic()
-            entries = tuple(map(self._from_wire, update.entries))
-            removals = self._removals_of_peer(update.entries, now)
+            entries = decode_entries(update.entries, self._revision)
+            removals = decode_removals(update.entries, now, now - self._follower.age)
             if update.complete:
                 changed = self._table.apply_listing(entries, revision, now, removals)
             else:
@@ -203,7 +206,7 @@
         """Return all directory data for a peer."""
         entries = self._table.entries(self._clock.monotonic())
         return DirectorySnapshot(
-            tuple(map(self._to_wire, entries)),
+            self._encode(entries),
             self._configuration_text.number,
             self._configuration_text.text,
             configuration_version=self._configuration_text.version,
@@ -218,10 +221,10 @@
         now = self._clock.monotonic()
         # An upstream that is not in the snapshot left before the peer was started.
         changed = self._table.apply_listing(
-            tuple(map(self._from_wire, snapshot.entries)),
+            decode_entries(snapshot.entries, self._revision),
             revision,
             now,
-            self._removals_of_peer(snapshot.entries, now),
+            decode_removals(snapshot.entries, now, now - self._follower.age),
         )
         if announce:
             self._listing_unannounced |= self._is_restored(revision)
@@ -251,7 +254,7 @@
             # A gateway that missed the update with it would see no gap any more.
             self._text_unannounced = bool(self._configuration_text.text)
         if entries:
-            fields["entries"] = tuple(map(self._to_wire, entries))
+            fields["entries"] = self._encode(entries)
         self._unannounced_entries = []
         self._listing_unannounced = False
         if self._text_unannounced:
@@ -285,42 +288,13 @@
             self._behind_since = self._clock.monotonic()
 
     def _with_known_era(self, revision: DirectoryRevision) -> DirectoryRevision:
-        """Return a received revision, in the current era if the sender knows none."""
-        if revision.era == UNKNOWN_ERA:
-            return revision._replace(era=self._revision.era)
-        return revision
-
-    def _from_wire(self, entry: DirectoryEntry) -> UpstreamEntry:
-        revision = DirectoryRevision(entry.era, entry.revision)
-        return UpstreamEntry(
-            revision=self._with_known_era(revision),
-            **{name: getattr(entry, name) for name in _SHARED_FIELDS},
-        )
-
-    def _to_wire(self, entry: UpstreamEntry) -> DirectoryEntry:
-        usable_for = self._table.usable_for(entry.id, self._clock.monotonic())
-        return DirectoryEntry(
-            revision=entry.revision.number,
-            era=entry.revision.era,
-            usable_ms=-1 if usable_for is None else round(usable_for * 1000),
-            **{name: getattr(entry, name) for name in _SHARED_FIELDS},
-        )
+        return with_known_era(revision, self._revision)
 
-    def _removals_of_peer(
-        self, entries: tuple[DirectoryEntry, ...], now: float
-    ) -> RemovalTimes:
-        """Return until when removed upstreams in a message of a peer are used.
-
-        The data of this gateway did not contain the removals when it was last known to
-        be up to date.
-        """
-        return RemovalTimes(
-            now - self._follower.age,
-            {
-                entry.id: now + entry.usable_ms / 1000
-                for entry in entries
-                if entry.usable_ms >= 0
-            },
+    def _encode(self, entries: Iterable[UpstreamEntry]) -> tuple[DirectoryEntry, ...]:
+        now = self._clock.monotonic()
+        return tuple(
+            encode_entry(entry, self._table.usable_for(entry.id, now))
+            for entry in entries
         )
 
     def _received_configuration(
