Bound the use of a removed upstream that a peer states

An update says for how long its sender still uses a removed upstream. A value over the grace of 1.2 s was taken as it is, so that one wrong or late message could keep an upstream in use after it has left.

Change: at most the grace counts, from the arrival of the message.

Measured: test_update_with_more_than_the_grace failed before (the upstream was usable after 1.2 s) and passes.

--- a/src/dogwoodshed/_internal/directory/wire.py
+++ b/src/dogwoodshed/_internal/directory/wire.py
@@ -7,7 +7,7 @@
     DirectoryRevision,
     UpstreamEntry,
 )
-from dogwoodshed._internal.directory.table import RemovalTimes
+from dogwoodshed._internal.directory.table import ABSENCE_GRACE_S, RemovalTimes
 from dogwoodshed._internal.mesh.fleet_messages import DirectoryEntry
 
 # Fields of an entry that are the same in messages.
@@ -54,12 +54,12 @@
     """Return until when removed upstreams in a message are used.
 
     The data of this gateway was last known to be up to date at `since`, and did not
-    contain the removals then.
+    contain the removals then. No gateway uses an upstream for longer than the grace.
     """
     return RemovalTimes(
         since,
         {
-            entry.id: now + entry.usable_ms / 1000
+            entry.id: now + min(entry.usable_ms / 1000, ABSENCE_GRACE_S)
             for entry in entries
             if entry.usable_ms >= 0
         },
--- a/tests/unit/test_directory_view.py
+++ b/tests/unit/test_directory_view.py
@@ -148,6 +148,19 @@
 
         self.assertEqual(await self.remove_entry_late(send), {})
 
+    async def test_update_with_more_than_the_grace(self):
+        """Guards against a peer that extends the use of an upstream that has left."""
+
+        def send(other):
+            update = GatewayUpdate("reader", 1, 2, **self.reader.compose_update())
+            (sent,) = update.entries
+            sent = sent._replace(usable_ms=60_000)
+            other.apply_update(update._replace(entries=(sent,)))
+            self.clock.now += ABSENCE_GRACE_S
+            other._apply_table()
+
+        self.assertEqual(await self.remove_entry_late(send), {})
+
     async def test_snapshot_after_the_end_of_the_grace(self):
         """Guards against the same where the removal comes with a snapshot."""
 
