Count the seeds as gateways that share the retry reserve

A gateway that starts while it is cut off has met no other one and took the whole reserve of the fleet, as each gateway did until its first contact.

Measured: test_gateway_that_starts_without_contact fails without it.

--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -210,7 +210,10 @@
         self._view.attach(self._follower)
         self._overlay.attach(_OverlayDelegate(self._view, self._router, placements))
         self._store.subscribe(self._router.apply_configuration)
-        self._budget = FleetRetryBudget(settings.retries, self._clock)
+        # A gateway that starts while it is cut off knows others only as its seeds.
+        self._budget = FleetRetryBudget(
+            settings.retries, self._clock, min_fleet_size=len(settings.mesh.seeds)
+        )
         self._roster.subscribe(
             lambda: self._budget.set_fleet_size(self._roster.fleet_size)
         )
--- a/src/dogwoodshed/_internal/retries/fleet.py
+++ b/src/dogwoodshed/_internal/retries/fleet.py
@@ -47,16 +47,20 @@
     fleet sees failures in bursts.
     """
 
-    def __init__(self, settings: RetrySettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: RetrySettings, clock: Clock, *, min_fleet_size: int = 1
+    ) -> None:
         self._settings = settings
         self._clock = clock
+        self._min_fleet_size = min_fleet_size
         self._reserve = 0.0
         self._counts: dict[str, _ServiceCounts] = {}
         self.set_fleet_size(1)
 
     def set_fleet_size(self, size: int) -> None:
         """Set this gateway's share of the reserve from the number of gateways."""
-        self._reserve = self._settings.reserve * USED_BUDGET_SHARE / max(1, size)
+        size = max(1, self._min_fleet_size, size)
+        self._reserve = self._settings.reserve * USED_BUDGET_SHARE / size
 
     def deposit(self, call: Call) -> None:
         """Count a call, which increases the budget."""
--- a/tests/unit/test_fleet_retries.py
+++ b/tests/unit/test_fleet_retries.py
@@ -30,6 +30,20 @@
     def call(self, **changes):
         return builders.call(self.clock, **changes)
 
+    def test_gateway_that_starts_without_contact(self):
+        """Guards against a gateway that takes the reserve of others it has not met."""
+        settings = RetrySettings(ratio=RATIO, reserve=RESERVE, window_s=WINDOW_S)
+        budget = FleetRetryBudget(settings, self.clock, min_fleet_size=4)
+        for known in (0, 1, 4):
+            with self.subTest(known=known):
+                budget.set_fleet_size(known)
+                self.clock.now += 2 * WINDOW_S
+                withdrawn = 0
+                while budget.try_withdraw(self.call()):
+                    withdrawn += 1
+                self.assertLessEqual(withdrawn, RESERVE / 4)
+                self.assertGreater(withdrawn, 0)
+
     def test_a_fleet_stays_within_its_budget(self):
         """Guards against gateways that each spend the budget of the whole fleet."""
         fleet_size = 19
