Estimate service times for the planned stop of the plain gateway

Cause: the planned stop refuses calls that cannot be finished by their expected service time, and the plain gateway gave none.

Change: the records of finished calls give a moving mean for each kind.

--- a/src/dogwoodshed/_internal/gateway.py
+++ b/src/dogwoodshed/_internal/gateway.py
@@ -35,6 +35,7 @@
 from dogwoodshed._internal.proxy.connections import UpstreamPools
 from dogwoodshed._internal.proxy.forwarder import RetryingForwarder
 from dogwoodshed._internal.proxy.server import CallRecord, ProxyServer, Recorder
+from dogwoodshed._internal.proxy.service_times import ServiceTimes
 from dogwoodshed._internal.reporting.builder import ReportBuilder
 from dogwoodshed._internal.reporting.exchange import SummaryExchange
 from dogwoodshed._internal.retries.hedges import HedgePolicy
@@ -52,15 +53,22 @@
 
 
 class _CountingRecorder:
-    """Record each finished call in the minute summary and in the metrics."""
+    """Record each finished call in the minute summary, the metrics and an estimate."""
 
-    def __init__(self, metrics: Metrics, summary_recorder: Recorder) -> None:
+    def __init__(
+        self,
+        metrics: Metrics,
+        summary_recorder: Recorder,
+        service_times: ServiceTimes,
+    ) -> None:
         self._metrics = metrics
         self._summary_recorder = summary_recorder
+        self._service_times = service_times
 
     def record(self, record: CallRecord) -> None:
         """Record a finished call."""
         self._summary_recorder.record(record)
+        self._service_times.record(record)
         self._metrics.increment(f"calls.{record.service}.{record.kind}.{record.ran}")
 
 
@@ -255,13 +263,15 @@
         forwarder = self._forwarder
         if settings.is_enabled("idempotency"):
             forwarder = self._idempotency.wrap(self._forwarder)
+        service_times = ServiceTimes()
         self._server = ProxyServer(
             self._store,
             forwarder,
-            _CountingRecorder(self._metrics, self._summaries.recorder),
+            _CountingRecorder(self._metrics, self._summaries.recorder, service_times),
             settings.limits,
             self._clock,
             self._metrics,
+            expected_service_time=service_times.expected,
         )
         await self.add_runtime_dependency(self._mesh)
         await self.add_runtime_dependency(self._idempotency)
--- a/tests/functional/test_plain_stop.py
+++ b/tests/functional/test_plain_stop.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 
-from tests.lib.raw import RawHttpTestCase, run_on_class_loop
+from tests.lib.raw import OK, RawHttpTestCase, run_on_class_loop
 
 BODY = b"x" * 100_000
 
@@ -67,3 +67,37 @@
         writer.write(request)
         head = await reader.readuntil(b"\r\n\r\n")
         self.assertTrue(head.startswith(b"HTTP/1.1 200"), head)
+
+
+class StopWithWaitingCallTest(RawHttpTestCase):
+    """The stop passes calls on for 1.5 s, and ends those at an upstream at 2.1 s."""
+
+    routing = "slices"
+    settings = {"stop_timeout_s": 1.5}
+    service = {"slots_per_upstream": 1}
+    service_time_s = 1.2
+    # Until when the second call could still be finished, and some time for the answer.
+    refused_within_s = 0.9 + 0.4
+
+    @run_on_class_loop
+    async def test_call_that_waits_and_cannot_be_finished(self):
+        """Guards against a call that is passed on late in a stop and then cut off."""
+        loop = asyncio.get_running_loop()
+
+        async def script(request, reader, writer):
+            await asyncio.sleep(self.service_time_s)
+            writer.write(OK)
+
+        self.upstream.script = script
+        await self.call()
+        first = asyncio.ensure_future(self.call())
+        await self.wait_until(lambda: len(self.upstream.requests) == 2)
+        second = asyncio.ensure_future(self.call())
+        await asyncio.sleep(0.1)
+        self.gateway.send_signal(signal.SIGTERM)
+        stopped_at = loop.time()
+        answer = await second
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503"), answer)
+        self.assertLess(loop.time() - stopped_at, self.refused_within_s)
+        self.assertTrue((await first).startswith(b"HTTP/1.1 200"))
+        self.assertEqual(len(self.upstream.requests), 2)
--- a/tests/lib/raw.py
+++ b/tests/lib/raw.py
@@ -122,6 +122,7 @@
 class RawHttpTestCase(unittest.TestCase):
     """Base for tests of one gateway between raw callers and a raw upstream."""
 
+    routing = "round_robin"
     settings: dict = {}
     service: dict = {}
 
@@ -142,7 +143,7 @@
         await cls.fleet.start_platform()
         document = builders.configuration_document(*cls.services())
         await cls.fleet.publish(json.dumps(document))
-        await cls.fleet.start_gateways(1, routing="round_robin", **cls.settings)
+        await cls.fleet.start_gateways(1, routing=cls.routing, **cls.settings)
         cls.gateway = cls.fleet.gateways[0]
 
     @classmethod
