--- a/src/dogwoodshed/_internal/fleet_gateway.py
+++ b/src/dogwoodshed/_internal/fleet_gateway.py
@@ -205,7 +205,7 @@
             self._clock,
             self._metrics,
             first_read_after=FIRST_READ_AFTER_S,
-            is_source_silent=lambda: self._overlay.is_source_silent,
+            is_source_silent=self._overlay.check_source_silence,
         )
         self._view.attach(self._follower)
         self._overlay.attach(_OverlayDelegate(self._view, self._router, placements))
@@ -249,7 +249,7 @@
 
     def _peers_read(self) -> bool:
         """Return whether a silent hub makes its other gateways read the directory."""
-        return self._overlay.is_source_silent and not self._roster.is_hub
+        return self._overlay.check_source_silence() and not self._roster.is_hub
 
     def _apply_upstreams(self, upstreams: list[UsableUpstream]) -> None:
         self._router.apply_upstreams(upstreams)
--- a/src/dogwoodshed/_internal/mesh/overlay.py
+++ b/src/dogwoodshed/_internal/mesh/overlay.py
@@ -113,9 +113,13 @@
         connection = self._connections.get(hub)
         return hub if connection is not None and not connection.closing else None
 
-    @property
-    def is_source_silent(self) -> bool:
-        """Whether the gateways from which changes of the directory arrive are silent.
+    def send_to(self, peer_id: str, message: Any) -> bool:
+        """Send a message to a peer; return False without an open connection."""
+        connection = self._connections.get(peer_id)
+        return connection is not None and connection.send(message)
+
+    def check_source_silence(self) -> bool:
+        """Return whether the gateways that send changes of the directory are silent.
 
         Changes reach a gateway through its hub, and a hub from the first readers of the
         directory or their hubs.
@@ -135,11 +139,6 @@
         self._source_seen_at = max([self._source_seen_at, *seen_at])
         return self._clock.monotonic() - self._source_seen_at > SOURCE_SILENCE_S
 
-    def send_to(self, peer_id: str, message: Any) -> bool:
-        """Send a message to a peer; return False without an open connection."""
-        connection = self._connections.get(peer_id)
-        return connection is not None and connection.send(message)
-
     def attach(self, delegate: OverlayDelegate) -> None:
         """Set the delegate that provides and applies loads and updates."""
         self._delegate = delegate
--- a/tests/unit/test_overlay.py
+++ b/tests/unit/test_overlay.py
@@ -196,7 +196,9 @@
         overlay._flush = overlay._maintain_once = lambda: None
 
     def silent(self):
-        return {n for n, overlay in self.overlays.items() if overlay.is_source_silent}
+        return {
+            n for n, overlay in self.overlays.items() if overlay.check_source_silence()
+        }
 
     async def test_source_of_an_idle_fleet_is_not_silent(self):
         """Guards against directory requests of every gateway while nothing happens."""
