--- a/tests/lib/loopback_proxy.py
+++ b/tests/lib/loopback_proxy.py
@@ -1,6 +1,7 @@
 """Run the proxy in the test's process between raw callers and raw upstreams."""
 
 import asyncio
+from collections.abc import Callable
 
 from dogwoodshed._internal.clock import SystemClock
 from dogwoodshed._internal.configuration.model import Configuration, NotRunRule, Service
@@ -36,6 +37,9 @@
     def __init__(self, configuration: Configuration) -> None:
         self.current = configuration
 
+    def subscribe(self, listener: Callable[[Configuration], None]) -> None:
+        """Ignore a listener, since the configuration does not change."""
+
 
 class LoopbackProxy:
     """Proxy with the header names of the platform; records the outcomes of calls."""
