Close no idle connection just after a pause of the process

The check for idle connections may run before the requests that came while the process was stopped are read, if it was stopped between the two.

Change: a check that is late by half an interval or more closes nothing.

Measured: test_request_while_the_gateway_is_paused passes; the order in which the event loop reads before it runs timers usually protects these requests as well, so that it was not seen failing.

--- a/src/dogwoodshed/_internal/proxy/callers.py
+++ b/src/dogwoodshed/_internal/proxy/callers.py
@@ -12,6 +12,7 @@
 
 # Connections are closed up to twice this time after they have become idle for too long.
 _IDLE_CHECK_INTERVAL_S = 1.0
+_MAX_CHECK_GAP_S = 1.5 * _IDLE_CHECK_INTERVAL_S
 
 
 class CallerConnection(RequestHandler):
@@ -117,12 +118,17 @@
         self._kwargs["max_field_size"] = limits.max_header_bytes
 
     def _schedule_idle_check(self) -> None:
+        self._checked_at = self._loop.time()
         self._idle_timer = self._loop.call_later(
             _IDLE_CHECK_INTERVAL_S, self._close_long_idle
         )
 
     def _close_long_idle(self) -> None:
         now = self._loop.time()
+        if now - self._checked_at > _MAX_CHECK_GAP_S:
+            # Requests that came while the process stood still may not be read yet.
+            self._schedule_idle_check()
+            return
         for connection in list(self.connections):
             connection.close_if_idle_since(now, self._limits.caller_idle_timeout_s)
         self._schedule_idle_check()
--- a/tests/functional/test_caller_limits.py
+++ b/tests/functional/test_caller_limits.py
@@ -1,6 +1,7 @@
 """Test the limits on callers that the operator's configuration sets."""
 
 import asyncio
+import signal
 import unittest
 
 from tests.lib.deployment import HOST, Deployment, route
@@ -103,6 +104,21 @@
         self.assertLess(seconds, IDLE_TIMEOUT_MS / 1000 + IDLE_CLOSE_SLACK_S)
         writer.close()
 
+    async def test_request_while_the_gateway_is_paused(self):
+        """Guards against closing a connection on a request that was not read yet."""
+        gateway = self.fleet.gateways[0]
+        for offset in (0.0, 0.3, 0.6, 0.9):
+            reader, writer = await self.connect()
+            self.assertEqual(await self.call_on(reader, writer), 200)
+            await asyncio.sleep(offset)
+            gateway.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(REUSE_SHARE * IDLE_TIMEOUT_MS / 1000 - offset)
+            writer.write(REQUEST + b"\r\n")
+            await asyncio.sleep(IDLE_TIMEOUT_MS / 1000)
+            gateway.send_signal(signal.SIGCONT)
+            self.assertEqual(await self.call_on(reader, writer), 200, offset)
+            writer.close()
+
     async def test_idle_timeout_that_grows(self):
         """Guards against open connections that keep the shorter timeout of before."""
         reader, writer = await self.connect()
