Repeat the stop in a test until enough connections were answered

test_connections_accepted_during_a_stop asks for more than 50 answered connections in the half second of a stop.

Change: the stop is repeated until more than 50 were answered in total; no answer but 200 is allowed in any of the stops, as before. Its failure prints the reasons of refusals.

--- a/tests/functional/test_hub_failures.py
+++ b/tests/functional/test_hub_failures.py
@@ -1,6 +1,7 @@
 """Test calls under load while the hub that places them fails or stops."""
 
 import asyncio
+import itertools
 import signal
 import unittest
 from collections import Counter
@@ -14,6 +15,7 @@
 DEADLINE_MS = 1000
 # A promise about the outcome, not an answer of the target.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+MIN_ANSWERED_IN_STOPS = 50
 
 
 class HubFailuresTest(unittest.IsolatedAsyncioTestCase):
@@ -115,14 +117,8 @@
         outcomes = await self.run_load(stop, seconds=5.0)
         self.assertEqual(set(outcomes), {200}, (outcomes, self.refusals()))
 
-    async def test_connections_accepted_during_a_stop(self):
-        """Guards against connections that were accepted and then cut off.
-
-        Callers open connections until the stopping gateway refuses them; each that was
-        opened gets a whole answer.
-        """
-        gateway = self.fleet.gateways[1]
-        results = Counter()
+    async def open_until_refused(self, gateway, numbers, results):
+        """Stop a gateway, and call it on new connections until it refuses these."""
 
         async def open_and_call(number):
             try:
@@ -146,17 +142,28 @@
             finally:
                 writer.close()
 
+        refused = results["refused"]
         gateway.send_signal(signal.SIGTERM)
         tasks = []
-        number = 0
+        while results["refused"] < refused + 50:
+            tasks.append(asyncio.create_task(open_and_call(next(numbers))))
+            await asyncio.sleep(0.002)
+        await asyncio.gather(*tasks)
+        self.assertEqual(await gateway.process.wait(), 0)
+
+    async def test_connections_accepted_during_a_stop(self):
+        """Guards against connections that were accepted and then cut off.
+
+        Callers open connections until the stopping gateway refuses them; each that was
+        opened gets a whole answer. A slow machine opens fewer of them in one stop.
+        """
+        gateway = self.fleet.gateways[1]
+        results, numbers = Counter(), itertools.count()
         async with asyncio.timeout(TIMEOUT_S):
-            while results["refused"] < 50:
-                tasks.append(asyncio.create_task(open_and_call(number)))
-                number += 1
-                await asyncio.sleep(0.002)
-            await asyncio.gather(*tasks)
-            self.assertEqual(await gateway.process.wait(), 0)
-        self.assertEqual(
-            set(results) - {"refused", "200"}, set(), (results, self.refusals())
-        )
-        self.assertGreater(sum(results.values()), 100)
+            while results["200"] <= MIN_ANSWERED_IN_STOPS:
+                await self.open_until_refused(gateway, numbers, results)
+                self.assertEqual(
+                    set(results) - {"refused", "200"}, set(), (results, self.refusals())
+                )
+                await gateway.start()
+                await gateway.wait_ready()
