--- a/src/dogwoodshed/_internal/routing/notices.py
+++ b/src/dogwoodshed/_internal/routing/notices.py
@@ -48,7 +48,7 @@
         if self.leaving_since is not None:
             return "leaving by answer"
         if self.is_held_off(now):
-            return f"held off until {self.held_off_until - now:.2f}s later"
+            return f"held off for {self.held_off_until - now:.2f}s"
         return ""
 
     def record_leaving(self, now: float) -> bool:
