Announce a leaving upstream only if no peer has told it meanwhile

If many gateways get an answer of a leaving upstream within one flush interval, each announced it, and every update goes to the whole fleet.

Change: what a peer has told is taken out of the next update.

Measured: test_leaving_upstream_that_a_peer_has_told fails without it.

--- a/src/dogwoodshed/_internal/routing/notice_recorder.py
+++ b/src/dogwoodshed/_internal/routing/notice_recorder.py
@@ -60,6 +60,9 @@
 
     def record_leaving_at_peer(self, run: UpstreamRun) -> bool:
         """Record that a run left by its answer to a peer; return whether it is new."""
+        if run in self._unannounced:
+            # Many gateways may get such an answer at once; one update is enough.
+            self._unannounced.remove(run)
         board = self._services.notices
         state = self._services.states.get(run.id)
         is_current = state is not None and state.run == run
--- a/tests/unit/test_notices.py
+++ b/tests/unit/test_notices.py
@@ -150,6 +150,13 @@
         self.assertEqual(await self.chosen(router=peer), {"i-2"})
         self.assertEqual(peer.take_leaving_upstreams(), ())
 
+    async def test_leaving_upstream_that_a_peer_has_told(self):
+        """Guards against as many updates as gateways when an upstream leaves."""
+        await self.say(LEAVING, "i-1")
+        self.router.record_leaving_at_peer(builders.upstream_run("i-1"))
+        self.assertEqual(self.router.take_leaving_upstreams(), ())
+        self.assertEqual(await self.chosen(), {"i-2"})
+
     async def test_run_that_leaves_before_the_directory_lists_it(self):
         """Guards against a late directory that returns an upstream that has left."""
         self.router.record_leaving_at_peer(builders.upstream_run("i-3"))
