--- a/src/dogwoodshed/_internal/proxy/callers.py
+++ b/src/dogwoodshed/_internal/proxy/callers.py
@@ -1,7 +1,5 @@
 """Manage the connections of callers."""
 
-import asyncio
-
 from aiohttp import web
 from aiohttp.web_protocol import RequestHandler
 
@@ -102,7 +100,6 @@
         # The timeout of aiohttp cannot change while a connection is open.
         super().__init__(handler, keepalive_timeout=float("inf"), **options)
         self._metrics = metrics
-        self._idle_timer: asyncio.TimerHandle | None = None
         self._apply_to_new(limits)
         self._schedule_idle_check()
 
@@ -125,18 +122,17 @@
 
     def _close_long_idle(self) -> None:
         now = self._loop.time()
-        if now - self._checked_at > _MAX_CHECK_GAP_S:
+        gap = now - self._checked_at
+        self._schedule_idle_check()
+        if gap > _MAX_CHECK_GAP_S:
             # Requests that came while the process stood still may not be read yet.
-            self._schedule_idle_check()
             return
         for connection in list(self.connections):
             connection.close_if_idle_since(now, self._limits.caller_idle_timeout_s)
-        self._schedule_idle_check()
 
     async def shutdown(self, timeout: float | None = None) -> None:
         """Close all connections, and stop to check them."""
-        if self._idle_timer is not None:
-            self._idle_timer.cancel()
+        self._idle_timer.cancel()
         await super().shutdown(timeout)
 
     def __call__(self) -> CallerConnection:
