--- a/bench/notices.py
+++ b/bench/notices.py
@@ -246,8 +246,10 @@
 def main() -> None:
     """Parse the arguments and run the cases."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("cases", nargs="*", choices=[[], *CASES], default=[])
-    asyncio.run(run(parser.parse_args().cases or CASES))
+    parser.add_argument(
+        "--case", action="append", choices=CASES, help="play only this case; repeatable"
+    )
+    asyncio.run(run(parser.parse_args().case or CASES))
 
 
 if __name__ == "__main__":
