Send several calls at once to reach the target that leaves in a test

test_other_gateways_learn_that_a_target_leaves waits until the target has answered one call of the first gateway.

Cause: one call at a time can go to the other targets for good.

The check of the other gateways stays.

--- a/tests/functional/test_target_notices.py
+++ b/tests/functional/test_target_notices.py
@@ -130,7 +130,9 @@
         target.exchanges.clear()
         async with asyncio.timeout(5.0):
             while not target.exchanges:
-                await self.fleet.call("/read/a", gateway=0)
+                # One call at a time may go to the same target again and again.
+                calls = [self.fleet.call("/read/a", gateway=0) for _ in range(CALLERS)]
+                await asyncio.gather(*calls)
         await asyncio.sleep(TOLD_WITHIN_S)
         target.exchanges.clear()
         for number in range(20 * GATEWAYS):
